--- a/clock.go
+++ b/clock.go
@@ -1,6 +1,7 @@
 package cowslipbend
 
 import (
+	"bytes"
 	"strconv"
 	"time"
 )
@@ -37,15 +38,17 @@
 // MarshalText writes the span as "1.5s".
 func (s Span) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
-// UnmarshalText reads "1.5s", "200ms" or a bare count of milliseconds. It
-// returns a KindInvalid error for anything else.
+// UnmarshalJSON reads a string as UnmarshalText does. A bare number is
+// refused, as it has no unit.
+func (s *Span) UnmarshalJSON(b []byte) error {
+	return s.UnmarshalText(bytes.Trim(b, `"`))
+}
+
+// UnmarshalText reads "1.5s" or "200ms". It returns a KindInvalid error for
+// anything else.
 func (s *Span) UnmarshalText(b []byte) error {
-	if n, err := strconv.ParseInt(string(b), 10, 64); err == nil {
-		*s = Span(n)
-		return nil
-	}
 	d, err := time.ParseDuration(string(b))
-	if err != nil {
+	if err != nil || (d == 0 && string(b) == "0") {
 		return Invalid("span", strconv.Quote(string(b))+" is no length of time", "write it as 200ms, 3s or 1h")
 	}
 	*s = Span(d.Milliseconds())
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -38,6 +38,11 @@
 // Put adds the item and waits for room. It reports false if the context ended
 // or the ring was closed first.
 func (r *Ring[T]) Put(ctx context.Context, item T) bool {
+	select {
+	case <-r.done:
+		return false
+	default:
+	}
 	select {
 	case r.ch <- item:
 		return true
--- a/resource.go
+++ b/resource.go
@@ -57,7 +57,7 @@
 
 // Share returns the largest part of the amount relative to o (the dominant
 // share). A part that o lacks counts as nothing if the amount lacks it too,
-// else as 1.
+// else as more than 1, as the amount never fits.
 func (r Resources) Share(o Resources) float64 {
 	return max(part(int64(r.CPU), int64(o.CPU)), part(int64(r.Mem), int64(o.Mem)), part(int64(r.Accel), int64(o.Accel)))
 }
@@ -67,7 +67,7 @@
 		return 0
 	}
 	if of <= 0 {
-		return 1
+		return 1 + float64(n)
 	}
 	return float64(n) / float64(of)
 }
