scheduler: end an owner whose epoch is over even when it is idle

Cause: at start two entries that had not heard of each other took a pool one after the other; the first had nothing to commit and never noticed, and agents flipped between the two. Change: a look at the heads ends an owner of another epoch; an entry takes no pool before it is written, has read the rows of the others and has called them; every reply to a heartbeat carries the epoch it speaks of and agents follow the highest.

--- a/beater/beater.go
+++ b/beater/beater.go
@@ -62,6 +62,7 @@
 	mu      sync.Mutex
 	entries map[string]control.Entry
 	owner   string
+	epoch   cowslipbend.Epoch // of the owner
 }
 
 // New returns a beater that knows the entries at the URLs.
@@ -184,9 +185,10 @@
 	for _, p := range r.GetEntries() {
 		b.learn(p.GetUrl())
 	}
-	if r.GetOwner() != "" {
+	// Entries may disagree for a while; the highest epoch is the newest word.
+	if epoch := cowslipbend.Epoch(r.GetEpoch()); r.GetOwner() != "" && epoch >= b.epoch {
 		b.learn(r.GetOwner())
-		b.owner = r.GetOwner()
+		b.owner, b.epoch = r.GetOwner(), epoch
 	}
 	b.mu.Unlock()
 	if rev := cowslipbend.Revision(r.GetRevision()); rev > b.config.Revision() {
--- a/entry/runner/calls.go
+++ b/entry/runner/calls.go
@@ -27,12 +27,13 @@
 	owner := e.owners.Owner(pool)
 	if owner == nil {
 		head := e.owners.Head(pool)
-		if head.Owner != e.settings.ID {
+		reply.Epoch = int64(head.Epoch)
+		if head.Owner != e.settings.ID && !head.Left {
 			reply.Owner = head.URL
 		}
 		return reply, nil
 	}
-	reply.Owner = e.URL()
+	reply.Owner, reply.Epoch = e.URL(), int64(owner.Epoch())
 	if r.GetOwned() {
 		c.owned(owner, r, reply)
 	}
@@ -42,7 +43,6 @@
 // owned takes the part of a heartbeat that is for the owner of the pool.
 func (c *calls) owned(owner *scheduler.Owner, r *control.BeatRequest, reply *control.BeatReply) {
 	lease, acks := owner.Beat(beat(r))
-	reply.Epoch = int64(owner.Epoch())
 	reply.Lease = int64(lease)
 	for _, a := range acks {
 		reply.Acks = append(reply.Acks, &control.Ack{Task: string(a.Task), Attempt: int64(a.Attempt)})
--- a/entry/runner/member.go
+++ b/entry/runner/member.go
@@ -34,7 +34,10 @@
 		if !written {
 			written = e.write(ctx) == nil
 		}
-		e.read(ctx)
+		if e.read(ctx) && written && !e.joined.Load() {
+			_ = e.sync(ctx)
+			e.joined.Store(true)
+		}
 		if !timer.Sleep(ctx, e.clock, e.pause(written)) {
 			return nil
 		}
@@ -58,10 +61,17 @@
 	return err
 }
 
-func (e *Entry) read(ctx context.Context) {
+// Joined reports whether this entry is written, has read the rows of the
+// others and has called them once. Of two entries that start at the same time
+// at least one then knows the other.
+func (e *Entry) Joined() bool { return e.joined.Load() }
+
+// read takes the rows of the other entries and reports whether the store
+// answered.
+func (e *Entry) read(ctx context.Context) bool {
 	rows, err := e.store.Scan(ctx, entryPrefix, "", maxEntries)
 	if err != nil {
-		return
+		return false
 	}
 	for _, row := range rows {
 		var m member
@@ -73,6 +83,7 @@
 			e.track.Rumour(tracker.Peer{ID: m.ID, URL: m.URL, Domain: m.Domain, Life: m.Life})
 		}
 	}
+	return true
 }
 
 // sync calls every other entry.
--- a/entry/runner/run.go
+++ b/entry/runner/run.go
@@ -59,6 +59,7 @@
 	main     *server.Server
 	http     *http.Client
 	leaving  atomic.Bool
+	joined   atomic.Bool
 }
 
 // Run runs an entry until the context ends, then drains it.
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -67,6 +67,9 @@
 	log     hclog.Logger
 	events  *ring.Ring[event]
 	outbox  *ring.Ring[parcel]
+	epoch   cowslipbend.Epoch
+	ended   chan struct{}
+	end     sync.Once
 	done    chan struct{}
 
 	mu   sync.Mutex
@@ -87,12 +90,18 @@
 	return &Owner{
 		pool: pool, journal: j, engine: e, leases: l, sender: s, config: c, clock: clock, log: log,
 		events: ring.New[event](eventRing), outbox: ring.New[parcel](outboxRing),
-		done: make(chan struct{}), acks: map[cowslipbend.WorkerID][]Ref{},
+		epoch: j.Head().Epoch, ended: make(chan struct{}), done: make(chan struct{}), acks: map[cowslipbend.WorkerID][]Ref{},
 	}
 }
 
 // Epoch returns the owner's epoch.
-func (o *Owner) Epoch() cowslipbend.Epoch { return o.journal.Head().Epoch }
+func (o *Owner) Epoch() cowslipbend.Epoch { return o.epoch }
+
+// End stops the owner because its epoch is over. It grants no lease any more.
+func (o *Owner) End() {
+	o.leases.End()
+	o.end.Do(func() { close(o.ended) })
+}
 
 // Done is closed when Run has returned.
 func (o *Owner) Done() <-chan struct{} { return o.done }
@@ -164,6 +173,8 @@
 	select {
 	case <-ctx.Done():
 		return nil, false
+	case <-o.ended:
+		return nil, false
 	case ev := <-o.events.Items():
 		batch = append(batch, ev)
 	case <-o.clock.After(tick):
--- a/scheduler/owners.go
+++ b/scheduler/owners.go
@@ -19,6 +19,9 @@
 type Members interface {
 	// LiveEntries returns the ids of the live entries, this one included.
 	LiveEntries() []cowslipbend.EntryID
+	// Joined reports whether this entry has read who else there is and has
+	// called them, so that LiveEntries can be trusted.
+	Joined() bool
 }
 
 // Owners holds the pools that this entry owns and takes over those whose
@@ -55,7 +58,7 @@
 func (o *Owners) Run(ctx context.Context) error {
 	defer close(o.done)
 	err := timer.Every(ctx, o.clock, lookPeriod, func(ctx context.Context) error {
-		o.look(ctx)
+		o.Look(ctx)
 		return nil
 	})
 	_ = o.group.Wait()
@@ -79,8 +82,9 @@
 	return o.heads[pool]
 }
 
-// look reads the head of each declared pool and takes what is free.
-func (o *Owners) look(ctx context.Context) {
+// Look reads the head of each declared pool once, ends owners whose epoch is
+// over and takes what is free. Run calls it again and again.
+func (o *Owners) Look(ctx context.Context) {
 	_, set := o.config.Set()
 	for i := range set.Pools {
 		if err := o.visit(ctx, &set.Pools[i]); err != nil {
@@ -102,10 +106,13 @@
 	if owner != nil {
 		if head.Epoch == owner.Epoch() {
 			owner.leases.Confirm(began)
+			return nil
 		}
+		// An owner that has nothing to commit learns of its end only here.
+		owner.End()
 		return nil
 	}
-	if !o.free(head) || o.preferred(p.Name) != o.self.ID {
+	if !o.members.Joined() || !o.free(head) || o.preferred(p.Name) != o.self.ID {
 		return nil
 	}
 	return o.take(ctx, p, head, version)
