tasker: accept the repeat of an order instead of refusing it

Cause: a start that the worker took longer than a second to answer was ordered again; the agent refused the repeat as 'not newer', the owner took that as proof that the attempt never ran and queued the task again, while it ran. Change: the repeat of an accepted attempt is accepted and starts nothing.

--- a/tasker/tasker.go
+++ b/tasker/tasker.go
@@ -80,7 +80,8 @@
 // Start runs an attempt on the worker, or refuses it: KindStale for an old
 // epoch or attempt, KindBusy if it does not fit, KindLate without a lease.
 func (t *Tasker) Start(ctx context.Context, s cowslipbend.Start) error {
-	if err := t.reserve(&s); err != nil {
+	repeated, err := t.reserve(&s)
+	if err != nil || repeated {
 		return err
 	}
 	if err := t.machine.Start(ctx, s); err != nil {
@@ -90,13 +91,33 @@
 	return nil
 }
 
-// reserve records the attempt before the worker is asked.
-func (t *Tasker) reserve(s *cowslipbend.Start) error {
+// reserve records the attempt before the worker is asked. It reports true for
+// the repeat of an order that was accepted: refusing that would tell the owner
+// that an attempt never ran which runs here.
+func (t *Tasker) reserve(s *cowslipbend.Start) (repeated bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err := t.order(s.Epoch); err != nil {
-		return err
+		return false, err
+	}
+	if t.accepted(s.Task, s.Attempt) {
+		return true, nil
+	}
+	return false, t.admit(s)
+}
+
+// accepted reports whether the attempt is held or waits for the owner's
+// acknowledgement.
+func (t *Tasker) accepted(task cowslipbend.TaskID, attempt cowslipbend.Attempt) bool {
+	if h, ok := t.tasks[task]; ok && h.start.Attempt == attempt {
+		return true
 	}
+	_, ok := t.reports[key{task, attempt}]
+	return ok
+}
+
+// admit refuses an attempt for good or makes room for it.
+func (t *Tasker) admit(s *cowslipbend.Start) error {
 	if s.Attempt <= t.newest[s.Task] {
 		return cowslipbend.Fail(cowslipbend.KindStale, fmt.Sprintf("attempt %d of %s is not newer", s.Attempt, s.Task), "read the pool's journal")
 	}
--- /dev/null
+++ b/tasker/tasker_test.go
@@ -0,0 +1,149 @@
+package tasker_test
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/tasker"
+	"cowslipbend.dev/timer"
+)
+
+// machine is a worker that keeps what it was told.
+type machine struct {
+	size   cowslipbend.Resources
+	tasks  map[cowslipbend.TaskID]cowslipbend.TaskStatus
+	until  map[cowslipbend.TaskID]cowslipbend.Time
+	starts int
+	// lose makes the next start fail as if its answer were lost; took says
+	// whether it had its effect.
+	lose, took bool
+}
+
+func newMachine() *machine {
+	return &machine{
+		size:  cowslipbend.Resources{CPU: 4 * cowslipbend.Core, Mem: 4 * cowslipbend.GB},
+		tasks: map[cowslipbend.TaskID]cowslipbend.TaskStatus{},
+		until: map[cowslipbend.TaskID]cowslipbend.Time{},
+	}
+}
+
+func (m *machine) Start(_ context.Context, s cowslipbend.Start) error {
+	m.starts++
+	lost := m.lose
+	m.lose = false
+	if !lost || m.took {
+		m.tasks[s.Task] = cowslipbend.TaskStatus{Task: s.Task, Attempt: s.Attempt, Size: s.Size, Phase: cowslipbend.Running}
+		m.until[s.Task] = s.Until
+	}
+	if lost {
+		return cowslipbend.Fail(cowslipbend.KindDown, "no answer", "ask again")
+	}
+	return nil
+}
+
+func (m *machine) Lease(_ context.Context, until map[cowslipbend.TaskID]cowslipbend.Time) error {
+	for id, end := range until {
+		m.until[id] = end
+	}
+	return nil
+}
+
+func (m *machine) Throttle(context.Context, cowslipbend.TaskID, int) error { return nil }
+
+func (m *machine) end(task cowslipbend.TaskID, attempt cowslipbend.Attempt, s cowslipbend.TaskStatus) error {
+	if have, ok := m.tasks[task]; ok && have.Attempt == attempt && have.Phase == cowslipbend.Running {
+		s.Task, s.Attempt, s.Size = task, attempt, have.Size
+		m.tasks[task] = s
+	}
+	return nil
+}
+
+func (m *machine) Evict(_ context.Context, task cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
+	return m.end(task, attempt, cowslipbend.TaskStatus{Phase: cowslipbend.Queued, Checkpoint: "c-" + string(task)})
+}
+
+func (m *machine) Stop(_ context.Context, task cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
+	return m.end(task, attempt, cowslipbend.TaskStatus{Phase: cowslipbend.Queued, Reason: "stopped"})
+}
+
+func (m *machine) Forget(_ context.Context, task cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
+	if have, ok := m.tasks[task]; ok && have.Attempt == attempt {
+		delete(m.tasks, task)
+	}
+	return nil
+}
+
+func (m *machine) Status(context.Context) (cowslipbend.MachineStatus, error) {
+	s := cowslipbend.MachineStatus{Size: m.size}
+	for _, t := range m.tasks {
+		s.Tasks = append(s.Tasks, t)
+	}
+	return s, nil
+}
+
+// host is a tasker with its worker, which it has asked once.
+type host struct {
+	*tasker.Tasker
+	m     *machine
+	clock *timer.Manual
+}
+
+const lease = 6 * cowslipbend.Second
+
+func newHost(t *testing.T) host {
+	t.Helper()
+	h := host{m: newMachine(), clock: &timer.Manual{}}
+	h.clock.Advance(cowslipbend.Second)
+	h.Tasker = tasker.New(h.m, h.clock)
+	assert.NilError(t, h.Poll(t.Context()))
+	assert.NilError(t, h.Grant(1, h.clock.Now(), lease))
+	return h
+}
+
+func start(task cowslipbend.TaskID, attempt cowslipbend.Attempt) cowslipbend.Start {
+	return cowslipbend.Start{
+		Task: task, Attempt: attempt, Epoch: 1, Class: "c",
+		Size: cowslipbend.Resources{CPU: cowslipbend.Core, Mem: cowslipbend.GB},
+	}
+}
+
+func assertKind(t *testing.T, err error, want cowslipbend.Kind) {
+	t.Helper()
+	assert.Equal(t, cowslipbend.KindOf(err), want, "%v", err)
+}
+
+func TestStart(t *testing.T) {
+	t.Run("a repeated order is accepted and starts nothing more", func(t *testing.T) {
+		h := newHost(t)
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		assert.Equal(t, h.m.starts, 1)
+		assert.NilError(t, h.m.Stop(t.Context(), "j/0", 1))
+		assert.NilError(t, h.Poll(t.Context()))
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		assert.Equal(t, h.m.starts, 1)
+	})
+	t.Run("an older attempt is refused", func(t *testing.T) {
+		h := newHost(t)
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 2)))
+		assertKind(t, h.Start(t.Context(), start("j/0", 1)), cowslipbend.KindStale)
+	})
+	t.Run("a refusal is final", func(t *testing.T) {
+		h := newHost(t)
+		h.clock.Advance(lease)
+		assertKind(t, h.Start(t.Context(), start("j/0", 1)), cowslipbend.KindLate)
+		assert.NilError(t, h.Grant(1, h.clock.Now(), lease))
+		assertKind(t, h.Start(t.Context(), start("j/0", 1)), cowslipbend.KindStale)
+		assert.Equal(t, h.m.starts, 0)
+	})
+	t.Run("what does not fit is refused", func(t *testing.T) {
+		h := newHost(t)
+		s := start("j/0", 1)
+		s.Size = h.m.size
+		assert.NilError(t, h.Start(t.Context(), s))
+		assertKind(t, h.Start(t.Context(), start("j/1", 1)), cowslipbend.KindBusy)
+	})
+}
