--- /dev/null
+++ b/internal/keeper/faults_test.go
@@ -0,0 +1,50 @@
+package keeper_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/internal/keeper"
+	"cowslipbend.dev/timer"
+)
+
+func put(key string) cowslipbend.Txn {
+	return cowslipbend.Txn{Puts: []cowslipbend.Put{{Key: key, Value: []byte("v")}}}
+}
+
+func TestFaults(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		fault  keeper.Fault
+		kind   cowslipbend.Kind
+		effect bool
+	}{
+		{"pass", keeper.Pass, "", true},
+		{"refuse", keeper.Refuse, cowslipbend.KindDown, false},
+		{"lose answer", keeper.LoseAnswer, cowslipbend.KindUnknown, true},
+		{"lose request", keeper.LoseRequest, cowslipbend.KindUnknown, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := keeper.NewFaults(1, &timer.Manual{})
+			table := f.Table(&keeper.Table{})
+			f.Next(c.fault)
+			_, err := table.Commit(t.Context(), put("k"))
+			assert.Equal(t, cowslipbend.KindOf(err), c.kind)
+			row, err := table.Get(t.Context(), "k")
+			assert.NilError(t, err)
+			assert.Equal(t, row.Version != 0, c.effect)
+		})
+	}
+	t.Run("down", func(t *testing.T) {
+		f := keeper.NewFaults(1, &timer.Manual{})
+		table, objects := f.Table(&keeper.Table{}), f.Objects(&keeper.Objects{})
+		f.Down(true)
+		_, err := table.Get(t.Context(), "k")
+		assert.Equal(t, cowslipbend.KindOf(err), cowslipbend.KindDown)
+		assert.Equal(t, cowslipbend.KindOf(objects.Put(t.Context(), "o", nil)), cowslipbend.KindDown)
+		f.Down(false)
+		assert.NilError(t, objects.Put(t.Context(), "o", nil))
+	})
+}
