scheduler: decide from an index instead of from all tasks

Cause: each decision rebuilt the hosts from all tasks, sorted all queued tasks and walked all jobs for the replicas of services, so its cost grew with all the work that the pool ever held.

Change: the engine keeps an index that Apply moves on record by record: hosts, what runs on each, orders that are due, replicas, and a queue by tier, team and job (package queuer: quotas, weighted dominant shares, ageing, back-off). On it stand quarantine with probes, parking with reasons, room held for large tasks, victims for urgent work, drained workers, waves of cancellations by one record, and a guarded policy that learns sizes and interference from samples joined with what ran when they were measured.

--- a/director/director.go
+++ b/director/director.go
@@ -7,6 +7,9 @@
 //	GET    /v1/jobs?pool=P
 //	POST   /v1/jobs                         Job
 //	DELETE /v1/jobs/{id}?pool=P
+//	POST   /v1/cancel?pool=P                [id, ...], all or none
+//	POST   /v1/workers/{id}/drain?pool=P
+//	POST   /v1/workers/{id}/undrain?pool=P
 //
 // Calls about a pool are passed on to the pool's owner.
 package director
@@ -60,6 +63,9 @@
 	g.GET("/jobs", d.jobs)
 	g.POST("/jobs", d.submit)
 	g.DELETE("/jobs/:id", d.cancel)
+	g.POST("/cancel", d.cancelAll)
+	g.POST("/workers/:id/drain", d.drain)
+	g.POST("/workers/:id/undrain", d.undrain)
 }
 
 func (d *Director) guard(next echo.HandlerFunc) echo.HandlerFunc {
--- a/director/jobs.go
+++ b/director/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"sort"
@@ -82,17 +83,9 @@
 }
 
 func (d *Director) cancel(c echo.Context) error {
-	owner, err := d.owner(c, cowslipbend.PoolID(c.QueryParam("pool")), nil)
-	if err != nil {
-		return fail(c, err)
-	}
-	if owner == nil {
-		return nil
-	}
-	if err := owner.Cancel(c.Request().Context(), cowslipbend.JobID(c.Param("id"))); err != nil {
-		return fail(c, err)
-	}
-	return c.NoContent(http.StatusNoContent)
+	return d.change(c, nil, func(ctx context.Context, o *scheduler.Owner) error {
+		return o.Cancel(ctx, cowslipbend.JobID(c.Param("id")))
+	})
 }
 
 // relay repeats the call with the body at the entry's URL and copies the
--- a/journaler/state.go
+++ b/journaler/state.go
@@ -19,8 +19,10 @@
 	Evictions int                    `json:"evictions,omitempty"`
 	CPU       cowslipbend.CPUTime    `json:"cpu,omitempty"`
 	Reason    string                 `json:"reason,omitempty"`
-	// Since is the wall time of the last change of phase.
-	Since cowslipbend.Time `json:"since,omitempty"`
+	// Submitted is the wall time of the job's record, Since that of the last
+	// change of phase.
+	Submitted cowslipbend.Time `json:"submitted,omitempty"`
+	Since     cowslipbend.Time `json:"since,omitempty"`
 }
 
 // Condition is what the journal says of a worker.
@@ -37,6 +39,8 @@
 type Worker struct {
 	Spec      cowslipbend.WorkerSpec `json:"spec"`
 	Condition Condition              `json:"condition"`
+	// Drained is set while an operator wants the worker empty.
+	Drained bool `json:"drained,omitempty"`
 }
 
 // State is a pool as its journal tells it.
@@ -64,11 +68,16 @@
 	case cowslipbend.RecSubmitted:
 		return s.submit(r)
 	case cowslipbend.RecCancelled:
-		s.cancel(r)
+		s.cancel(r.JobID, r.At)
+		for _, id := range r.Jobs {
+			s.cancel(id, r.At)
+		}
 		return nil
 	case cowslipbend.RecJoined:
-		s.Workers[r.Worker.ID] = &Worker{Spec: *r.Worker, Condition: Fit}
+		s.join(r)
 		return nil
+	case cowslipbend.RecDrained, cowslipbend.RecUndrained:
+		return s.drain(r)
 	case cowslipbend.RecSilent:
 		return s.condition(r, Silent)
 	case cowslipbend.RecQuarantine:
@@ -93,15 +102,15 @@
 	s.Jobs[r.Job.ID] = r.Job
 	for i := range r.Job.Tasks {
 		id := cowslipbend.MakeTaskID(r.Job.ID, i)
-		s.Tasks[id] = &Task{ID: id, Job: r.Job.ID, Phase: cowslipbend.Queued, Since: r.At}
+		s.Tasks[id] = &Task{ID: id, Job: r.Job.ID, Phase: cowslipbend.Queued, Submitted: r.At, Since: r.At}
 	}
 	return nil
 }
 
 // cancel ends the queued tasks of a job. Those on a worker end when the
 // worker reports.
-func (s *State) cancel(r cowslipbend.Record) {
-	job, ok := s.Jobs[r.JobID]
+func (s *State) cancel(id cowslipbend.JobID, at cowslipbend.Time) {
+	job, ok := s.Jobs[id]
 	if !ok {
 		return
 	}
@@ -112,11 +121,34 @@
 		}
 		t.Reason = "cancelled"
 		if t.Phase == cowslipbend.Queued {
-			t.Phase, t.Since = cowslipbend.Cancelled, r.At
+			t.Phase, t.Since = cowslipbend.Cancelled, at
 		}
 	}
 }
 
+// join takes a worker in. One that was silent is fit again; quarantine and an
+// operator's drain outlast a change of what the worker says of itself.
+func (s *State) join(r cowslipbend.Record) {
+	w, known := s.Workers[r.Worker.ID]
+	if !known {
+		w = &Worker{Condition: Fit}
+		s.Workers[r.Worker.ID] = w
+	}
+	w.Spec = *r.Worker
+	if w.Condition == Silent {
+		w.Condition = Fit
+	}
+}
+
+func (s *State) drain(r cowslipbend.Record) error {
+	w, ok := s.Workers[r.WorkerID]
+	if !ok {
+		return broken(r, "worker "+string(r.WorkerID)+" is unknown")
+	}
+	w.Drained = r.Kind == cowslipbend.RecDrained
+	return nil
+}
+
 func (s *State) condition(r cowslipbend.Record, c Condition) error {
 	w, ok := s.Workers[r.WorkerID]
 	if !ok {
--- a/placer/policy.go
+++ b/placer/policy.go
@@ -16,8 +16,8 @@
 }
 
 // fits reports whether the host may take the task.
-func fits(h *cowslipbend.Host, ask cowslipbend.Ask) bool {
-	if !h.Usable || !ask.Size.Fits(h.Free()) {
+func fits(h *cowslipbend.Host, ask *cowslipbend.Ask) bool {
+	if !h.Usable || !ask.Size.Fits(h.Room(ask)) {
 		return false
 	}
 	for _, w := range ask.Avoid {
@@ -32,7 +32,7 @@
 type declared struct{}
 
 // Reserve returns the declared size.
-func (declared) Reserve(_ cowslipbend.Class, size cowslipbend.Resources) cowslipbend.Resources {
+func (declared) Reserve(_ cowslipbend.Ask, size cowslipbend.Resources) cowslipbend.Resources {
 	return size
 }
 
@@ -48,7 +48,7 @@
 // Place returns the first host with room.
 func (firstFit) Place(hosts []*cowslipbend.Host, ask cowslipbend.Ask) int {
 	for i, h := range hosts {
-		if fits(h, ask) {
+		if fits(h, &ask) {
 			return i
 		}
 	}
@@ -65,7 +65,7 @@
 func (leastLoaded) Place(hosts []*cowslipbend.Host, ask cowslipbend.Ask) int {
 	best, least := -1, 0.0
 	for i, h := range hosts {
-		if !fits(h, ask) {
+		if !fits(h, &ask) {
 			continue
 		}
 		if load := h.Reserved.Share(h.Spec.Size); best < 0 || load < least {
--- a/record.go
+++ b/record.go
@@ -18,6 +18,8 @@
 	RecSilent     RecordKind = "silent"     // a worker is lost after its lease
 	RecQuarantine RecordKind = "quarantine" // a worker gets only probes
 	RecRestored   RecordKind = "restored"   // a worker left quarantine
+	RecDrained    RecordKind = "drained"    // an operator empties a worker
+	RecUndrained  RecordKind = "undrained"  // an operator gives a worker back
 )
 
 // Record is one entry of a pool's journal. Fields that a kind does not use
@@ -27,6 +29,7 @@
 	Job        *Job        `json:"j,omitempty"`
 	Task       TaskID      `json:"t,omitempty"`
 	JobID      JobID       `json:"i,omitempty"`
+	Jobs       []JobID     `json:"m,omitempty"` // of a wave of cancellations
 	Attempt    Attempt     `json:"a,omitempty"`
 	Worker     *WorkerSpec `json:"w,omitempty"`
 	WorkerID   WorkerID    `json:"h,omitempty"`
--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -2,108 +2,158 @@
 
 import (
 	"fmt"
-	"sort"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/journaler"
+	"cowslipbend.dev/queuer"
 )
 
-// assign places queued tasks, first come first served within an urgency.
+// assigning is one pass over the queue.
+type assigning struct {
+	*Engine
+	now, wall cowslipbend.Time
+	recs      []cowslipbend.Record
+	starts    int
+	// taken undoes the reservations of the pass, which the records make anew.
+	taken []func()
+	// full lists sizes that no host had room for in this pass.
+	full map[queuer.Tier][]cowslipbend.Resources
+	// fresh counts the rooms held and the evictions chosen in this pass.
+	fresh int
+}
+
+// assign places queued tasks in the order of the queue.
 func (e *Engine) assign(now, wall cowslipbend.Time) []cowslipbend.Record {
-	hosts := e.hosts(now)
-	var recs []cowslipbend.Record
-	for _, t := range e.queue() {
-		if len(recs) >= e.opts.Starts {
-			break
-		}
-		job := e.state.Jobs[t.Job]
-		if distinct(t.Failed) >= e.opts.Park {
-			recs = append(recs, cowslipbend.Record{Kind: cowslipbend.RecParked, Task: t.ID, Reason: fmt.Sprintf("failed on %d workers", distinct(t.Failed)), At: wall})
-			continue
-		}
-		size := e.policy.Reserve(job.Class, job.Size)
-		i := e.policy.Place(hosts, cowslipbend.Ask{
-			Task: t.ID, Class: job.Class, Team: job.Team, Urgency: job.Urgency, Service: job.Service, Size: size, Avoid: t.Failed,
-		})
-		if i < 0 {
-			continue
-		}
-		take(hosts[i], job, size)
-		recs = append(recs, cowslipbend.Record{
-			Kind: cowslipbend.RecAssigned, Task: t.ID, Attempt: t.Attempt + 1, WorkerID: hosts[i].Spec.ID, Size: size, At: wall,
-		})
+	a := &assigning{Engine: e, now: now, wall: wall, full: map[queuer.Tier][]cowslipbend.Resources{}}
+	e.prune()
+	e.index.queue.Serve(wall, e.index.total, a.offer)
+	for _, undo := range a.taken {
+		undo()
 	}
-	return recs
+	return a.recs
 }
 
-func take(h *cowslipbend.Host, job *cowslipbend.Job, size cowslipbend.Resources) {
-	h.Reserved = h.Reserved.Plus(size)
-	h.Classes[job.Class]++
-	if job.Service != "" {
-		h.Services[job.Service]++
+// offer tries to place one task.
+func (a *assigning) offer(job *cowslipbend.Job, item queuer.Item, quota queuer.Quota) (cowslipbend.Resources, queuer.Verdict) {
+	none := cowslipbend.Resources{}
+	if a.starts >= a.opts.Starts {
+		return none, queuer.Stopped
+	}
+	t := a.state.Tasks[item.Task]
+	if reason := a.hopeless(t, job); reason != "" {
+		a.recs = append(a.recs, cowslipbend.Record{Kind: cowslipbend.RecParked, Task: t.ID, Reason: reason, At: a.wall})
+		return none, queuer.Passed
+	}
+	ask := a.ask(t, job)
+	if !quota.Allows(ask.Size) {
+		return none, queuer.Blocked
+	}
+	if a.probe(t, job, ask) {
+		return ask.Size, queuer.Placed
+	}
+	if len(t.Failed) == 0 && ask.Holder == "" && a.isFull(job, ask.Size) {
+		return none, a.blocked(t, job, ask)
 	}
+	i := a.policy.Place(a.index.hosts, ask)
+	if i < 0 {
+		if len(t.Failed) == 0 && ask.Holder == "" {
+			tier := queuer.TierOf(job)
+			a.full[tier] = append(a.full[tier], ask.Size)
+		}
+		return none, a.blocked(t, job, ask)
+	}
+	a.put(a.index.hosts[i], t, job, ask.Size)
+	return ask.Size, queuer.Placed
 }
 
-func distinct(workers []cowslipbend.WorkerID) int {
-	set := map[cowslipbend.WorkerID]bool{}
-	for _, w := range workers {
-		set[w] = true
+// ask returns what the task asks of a host.
+func (a *assigning) ask(t *journaler.Task, job *cowslipbend.Job) cowslipbend.Ask {
+	ask := cowslipbend.Ask{
+		Task: t.ID, Class: job.Class, Team: job.Team, Urgency: job.Urgency, Service: job.Service, Size: job.Size, Avoid: t.Failed,
+	}
+	if size := a.policy.Reserve(ask, job.Size); a.holdsEver(size) {
+		ask.Size = size
 	}
-	return len(set)
+	if d, ok := a.holds[t.ID]; ok {
+		ask.Holder, ask.Held = d.worker, d.size
+	}
+	return ask
 }
 
-// hosts returns the workers as placement sees them.
-func (e *Engine) hosts(now cowslipbend.Time) []*cowslipbend.Host {
-	byID := map[cowslipbend.WorkerID]*cowslipbend.Host{}
-	list := make([]*cowslipbend.Host, 0, len(e.state.Workers))
-	for _, id := range e.workers() {
-		w, s := e.state.Workers[id], e.seen[id]
-		h := &cowslipbend.Host{
-			Spec: w.Spec, Classes: map[cowslipbend.Class]int{}, Services: map[cowslipbend.ServiceID]int{},
-			Usable: w.Condition == journaler.Fit && s != nil && s.runs != nil && !s.leaving && now.Sub(s.at) <= e.opts.Suspect,
+// holdsEver reports whether some worker of the pool can ever hold the size.
+func (e *Engine) holdsEver(size cowslipbend.Resources) bool {
+	for _, h := range e.index.hosts {
+		if size.Fits(h.Spec.Size) {
+			return true
 		}
-		byID[id] = h
-		list = append(list, h)
 	}
-	for _, t := range e.state.Tasks {
-		if t.Worker != "" {
-			take(byID[t.Worker], e.state.Jobs[t.Job], t.Size)
+	return false
+}
+
+// isFull reports whether no host had room for as much or less in this pass.
+func (a *assigning) isFull(job *cowslipbend.Job, size cowslipbend.Resources) bool {
+	for _, s := range a.full[queuer.TierOf(job)] {
+		if s.Fits(size) {
+			return true
 		}
 	}
-	return list
+	return false
 }
 
-// queue returns the queued tasks in the order in which they are served.
-func (e *Engine) queue() []*journaler.Task {
-	var list []*journaler.Task
-	for _, t := range e.state.Tasks {
-		if t.Phase == cowslipbend.Queued {
-			list = append(list, t)
-		}
+// put records the assignment and takes the room for the rest of the pass.
+func (a *assigning) put(h *cowslipbend.Host, t *journaler.Task, job *cowslipbend.Job, size cowslipbend.Resources) {
+	take(h, job, size, 1)
+	a.taken = append(a.taken, func() { take(h, job, size, -1) })
+	a.starts++
+	a.recs = append(a.recs, cowslipbend.Record{
+		Kind: cowslipbend.RecAssigned, Task: t.ID, Attempt: t.Attempt + 1, WorkerID: h.Spec.ID, Size: size, At: a.wall,
+	})
+}
+
+// hopeless returns why the task is to be set aside, or nothing.
+func (a *assigning) hopeless(t *journaler.Task, job *cowslipbend.Job) string {
+	if n := distinct(t.Failed); n > 0 && n >= min(a.opts.Park, len(a.index.hosts)) {
+		return fmt.Sprintf("failed on %d workers", n)
+	}
+	waited := a.wall.Sub(t.Since)
+	if waited > a.opts.Unfit && len(a.index.hosts) > 0 && !a.holdsEver(job.Size) {
+		return "no worker of the pool can hold it"
 	}
-	sort.Slice(list, func(i, j int) bool {
-		a, b := list[i], list[j]
-		if ra, rb := e.rank(a), e.rank(b); ra != rb {
-			return ra < rb
+	return ""
+}
+
+// blocked notes that a task found no room: services and urgent work may have
+// others evicted, and room is held for what has waited long.
+func (a *assigning) blocked(t *journaler.Task, job *cowslipbend.Job, ask cowslipbend.Ask) queuer.Verdict {
+	if _, held := a.holds[t.ID]; held {
+		return queuer.Passed
+	}
+	if !job.Batch() || job.Urgency == cowslipbend.Urgent {
+		if a.evictFor(t, ask) {
+			return queuer.Passed
 		}
-		if a.Since != b.Since {
-			return a.Since < b.Since
+	}
+	if job.Batch() && a.wall.Sub(t.Since) > a.opts.Aged {
+		a.hold(t, ask)
+	}
+	return queuer.Blocked
+}
+
+func distinct(workers []cowslipbend.WorkerID) int {
+	n := 0
+	for i, w := range workers {
+		if !contains(workers[:i], w) {
+			n++
 		}
-		return a.ID < b.ID
-	})
-	return list
+	}
+	return n
 }
 
-// rank orders services before urgent, normal and spare batch work.
-func (e *Engine) rank(t *journaler.Task) int {
-	job := e.state.Jobs[t.Job]
-	switch {
-	case !job.Batch():
-		return 0
-	case job.Urgency == cowslipbend.Urgent:
-		return 1
-	case job.Urgency == cowslipbend.Spare:
-		return 3
-	}
-	return 2
+func contains(list []cowslipbend.WorkerID, w cowslipbend.WorkerID) bool {
+	for _, x := range list {
+		if x == w {
+			return true
+		}
+	}
+	return false
 }
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -2,13 +2,12 @@
 
 import (
 	"fmt"
-	"sort"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/journaler"
 )
 
-// Options are the times of an engine.
+// Options are the times and bounds of an engine.
 type Options struct {
 	// Suspect is the silence after which nothing more is placed on a worker.
 	Suspect cowslipbend.Span
@@ -18,22 +17,56 @@
 	Park int
 	// Starts bounds the assignments of one decision.
 	Starts int
+	// Retry is the back-off after a task's first failure; it doubles with each
+	// further one up to MaxRetry.
+	Retry    cowslipbend.Span
+	MaxRetry cowslipbend.Span
+	// Unfit is how long a task waits for a worker that can ever hold it.
+	Unfit cowslipbend.Span
+	// Aged is the wait after which room is held for a task that does not fit.
+	Aged cowslipbend.Span
+	// Spare is the wait after which spare work counts as normal.
+	Spare cowslipbend.Span
+	// Faults is the count of failures of work that fails nowhere else, without
+	// a success between them, that puts a worker into quarantine.
+	Faults int
+	// Probe is the time between two attempts on a worker in quarantine.
+	Probe cowslipbend.Span
+	// Evict is the mean time between two evictions that the owner orders, and
+	// Burst how many it may order at once.
+	Evict cowslipbend.Span
+	Burst int
+	// Often is the count of evictions after which a task is no victim again.
+	Often int
 }
 
 // Defaults returns the options of a usual pool.
 func Defaults() Options {
-	return Options{Suspect: 3 * cowslipbend.Second, Resend: cowslipbend.Second, Park: 3, Starts: 200}
+	return Options{
+		Suspect: 3 * cowslipbend.Second, Resend: cowslipbend.Second, Park: 3, Starts: 200,
+		Retry: cowslipbend.Second, MaxRetry: cowslipbend.Minute, Unfit: 10 * cowslipbend.Second,
+		Aged: 10 * cowslipbend.Second, Spare: 10 * cowslipbend.Minute,
+		Faults: 3, Probe: 5 * cowslipbend.Second,
+		Evict: cowslipbend.Second, Burst: 16, Often: 2,
+	}
 }
 
 // seen is what heartbeats tell about a worker.
 type seen struct {
 	at      cowslipbend.Time
 	leaving bool
+	// heard is set once a heartbeat has told what runs.
+	heard bool
 	// lapse is when the last lease granted to it ends.
 	lapse cowslipbend.Time
-	// runs lists the attempts that the last heartbeat named as running.
-	runs map[cowslipbend.TaskID]cowslipbend.Attempt
-	sent map[cowslipbend.TaskID]cowslipbend.Time
+	// strays lists attempts that run where the journal does not have them.
+	strays []Ref
+	sent   map[cowslipbend.TaskID]cowslipbend.Time
+	past   history
+}
+
+func newSeen(at, lapse cowslipbend.Time) *seen {
+	return &seen{at: at, lapse: lapse, sent: map[cowslipbend.TaskID]cowslipbend.Time{}}
 }
 
 // Engine decides for one pool. It is not safe for concurrent use, reads no
@@ -44,11 +77,14 @@
 	policy cowslipbend.Placement
 	state  *journaler.State
 	seen   map[cowslipbend.WorkerID]*seen
+	index  *index
 	// safe is when every lease of earlier owners has lapsed.
-	safe cowslipbend.Time
-	set  *cowslipbend.Set
-	// next numbers replicas, so that no id is used twice.
-	next map[cowslipbend.ServiceID]int
+	safe     cowslipbend.Time
+	set      *cowslipbend.Set
+	headroom int // percent
+	health   *health
+	evicting *evicting
+	holds    map[cowslipbend.TaskID]hold
 }
 
 // NewEngine returns an engine over a replayed state. Leases of earlier owners
@@ -56,10 +92,11 @@
 func NewEngine(pool cowslipbend.PoolID, state *journaler.State, policy cowslipbend.Placement, opts Options, safe cowslipbend.Time) *Engine {
 	e := &Engine{
 		pool: pool, opts: opts, policy: policy, state: state, safe: safe,
-		seen: map[cowslipbend.WorkerID]*seen{}, set: &cowslipbend.Set{}, next: map[cowslipbend.ServiceID]int{},
+		seen: map[cowslipbend.WorkerID]*seen{}, set: &cowslipbend.Set{}, index: newIndex(state, opts),
+		health: newHealth(), evicting: newEvicting(opts), holds: map[cowslipbend.TaskID]hold{},
 	}
 	for id := range state.Workers {
-		e.seen[id] = &seen{at: safe, lapse: safe, sent: map[cowslipbend.TaskID]cowslipbend.Time{}}
+		e.seen[id] = newSeen(safe, safe)
 	}
 	return e
 }
@@ -67,18 +104,53 @@
 // Apply takes records that were committed.
 func (e *Engine) Apply(records []cowslipbend.Record) error {
 	for _, r := range records {
-		if err := e.state.Apply(r); err != nil {
+		e.health.note(e.state, r)
+		before := e.index.touched(e.state, r)
+		for _, t := range before {
+			e.forget(t)
+			e.index.drop(e.state, t)
+		}
+		err := e.state.Apply(r)
+		if r.Kind == cowslipbend.RecSubmitted && err == nil {
+			before = e.index.tasks(e.state, r.Job.ID)
+		}
+		for _, t := range before {
+			e.index.add(e.state, t)
+		}
+		if err != nil {
 			return err
 		}
+		e.index.worker(e.state, r)
 	}
 	return nil
 }
 
+// forget drops what is remembered of a task's orders before it changes.
+func (e *Engine) forget(t *journaler.Task) {
+	if s, ok := e.seen[t.Worker]; ok {
+		delete(s.sent, t.ID)
+	}
+	delete(e.evicting.intents, t.ID)
+}
+
 // State returns the journal state. It must not be changed.
 func (e *Engine) State() *journaler.State { return e.state }
 
-// Declare takes a newer set and the wall time.
-func (e *Engine) Declare(set *cowslipbend.Set) { e.set = set }
+// Declare takes the set in force.
+func (e *Engine) Declare(set *cowslipbend.Set) {
+	if e.set == set {
+		return
+	}
+	e.set = set
+	e.index.queue.Declare(set.Teams)
+	e.headroom = 0
+	for i := range set.Pools {
+		if set.Pools[i].Name == e.pool {
+			e.headroom = set.Pools[i].Spare
+			e.evicting.weigh(set.Pools[i].Weights)
+		}
+	}
+}
 
 // Submit returns the record of a new job, nothing for a repeat of the same
 // content, or an error: KindConflict for other content under the same id,
@@ -113,14 +185,42 @@
 	return cowslipbend.Invalid("job.size", fmt.Sprintf("no worker of the pool can hold it; one has %d millicores and %d bytes", largest.CPU, largest.Mem), "ask for less")
 }
 
-// Cancel returns the record that cancels a job, or KindMissing.
-func (e *Engine) Cancel(id cowslipbend.JobID, wall cowslipbend.Time) ([]cowslipbend.Record, error) {
-	if _, known := e.state.Jobs[id]; !known {
-		return nil, cowslipbend.Fail(cowslipbend.KindMissing, "no job "+string(id), "look at cowslip jobs")
+// Cancel returns the record that cancels a wave of jobs, or KindMissing with
+// all names that are unknown.
+func (e *Engine) Cancel(ids []cowslipbend.JobID, wall cowslipbend.Time) ([]cowslipbend.Record, error) {
+	var l cowslipbend.Errors
+	var open []cowslipbend.JobID
+	for _, id := range ids {
+		if _, known := e.state.Jobs[id]; !known {
+			l.Add(cowslipbend.Fail(cowslipbend.KindMissing, "no job "+string(id), "look at cowslip jobs"))
+			continue
+		}
+		if e.open(id) {
+			open = append(open, id)
+		}
+	}
+	if len(l) == 1 {
+		return nil, l[0]
+	}
+	if len(l) > 0 || len(open) == 0 {
+		return nil, l.Err()
 	}
-	return []cowslipbend.Record{{Kind: cowslipbend.RecCancelled, JobID: id, At: wall}}, nil
+	return []cowslipbend.Record{{Kind: cowslipbend.RecCancelled, Jobs: open, At: wall}}, nil
 }
 
+// open reports whether the job has a task that a cancellation would change.
+func (e *Engine) open(id cowslipbend.JobID) bool {
+	for _, t := range e.index.tasks(e.state, id) {
+		if !t.Phase.Ended() && t.Reason != reasonCancelled {
+			return true
+		}
+	}
+	return false
+}
+
+// reasonCancelled is the reason of a task whose job was cancelled.
+const reasonCancelled = "cancelled"
+
 // Beat is what a heartbeat tells the owner.
 type Beat struct {
 	Worker  cowslipbend.WorkerSpec
@@ -135,24 +235,22 @@
 func (e *Engine) Beat(b Beat, now, wall cowslipbend.Time) []cowslipbend.Record {
 	s, ok := e.seen[b.Worker.ID]
 	if !ok {
-		s = &seen{sent: map[cowslipbend.TaskID]cowslipbend.Time{}}
+		s = newSeen(now, 0)
 		e.seen[b.Worker.ID] = s
 	}
-	s.at, s.leaving = now, b.Leaving
+	s.at, s.leaving, s.heard = now, b.Leaving, true
 	s.lapse = max(s.lapse, b.Lapse)
-	s.runs = map[cowslipbend.TaskID]cowslipbend.Attempt{}
 	var recs []cowslipbend.Record
 	if w, known := e.state.Workers[b.Worker.ID]; !known || w.Condition == journaler.Silent || w.Spec != b.Worker {
 		spec := b.Worker
 		recs = append(recs, cowslipbend.Record{Kind: cowslipbend.RecJoined, Worker: &spec, At: wall})
 	}
 	for _, r := range b.Running {
-		s.runs[r.Task] = r.Attempt
 		if t := e.current(b.Worker.ID, r); t != nil && t.Phase == cowslipbend.Assigned {
 			recs = append(recs, cowslipbend.Record{Kind: cowslipbend.RecStarted, Task: r.Task, Attempt: r.Attempt, At: wall})
 		}
-		e.learn(b.Worker.ID, r, now)
 	}
+	e.measure(s, &b, now)
 	for _, r := range b.Reports {
 		if e.current(b.Worker.ID, r) != nil {
 			recs = append(recs, ended(r, wall))
@@ -164,7 +262,7 @@
 // current returns the task if the status is of its current attempt there.
 func (e *Engine) current(worker cowslipbend.WorkerID, s cowslipbend.TaskStatus) *journaler.Task {
 	t, ok := e.state.Tasks[s.Task]
-	if !ok || t.Worker != worker || t.Attempt != s.Attempt {
+	if !ok || t.Worker == "" || t.Worker != worker || t.Attempt != s.Attempt {
 		return nil
 	}
 	return t
@@ -184,18 +282,6 @@
 	return r
 }
 
-func (e *Engine) learn(worker cowslipbend.WorkerID, s cowslipbend.TaskStatus, now cowslipbend.Time) {
-	t := e.current(worker, s)
-	if t == nil {
-		return
-	}
-	job := e.state.Jobs[t.Job]
-	e.policy.Learn(cowslipbend.Sample{
-		Task: s.Task, Class: job.Class, Service: job.Service, Declared: job.Size, Usage: s.Usage,
-		Tail: s.Tail, Served: s.Served, At: now.Add(-cowslipbend.Span(s.Measured)),
-	})
-}
-
 // Refused returns the record of an attempt that an agent refused for certain.
 func (e *Engine) Refused(worker cowslipbend.WorkerID, task cowslipbend.TaskID, attempt cowslipbend.Attempt, reason string, wall cowslipbend.Time) []cowslipbend.Record {
 	if e.current(worker, cowslipbend.TaskStatus{Task: task, Attempt: attempt}) == nil {
@@ -204,18 +290,24 @@
 	return []cowslipbend.Record{{Kind: cowslipbend.RecEvicted, Task: task, Attempt: attempt, Reason: reason, At: wall}}
 }
 
-// Decide returns the records of what to do now: lost workers, replicas of
-// services, parked tasks, assignments. The caller commits and applies them.
+// Decide returns the records of what to do now: lost and faulty workers,
+// replicas of services, parked tasks, assignments. The caller commits and
+// applies them. It also chooses what is evicted; see Orders.
 func (e *Engine) Decide(now, wall cowslipbend.Time) []cowslipbend.Record {
 	recs := e.lost(now, wall)
+	recs = append(recs, e.quarantine(wall)...)
 	recs = append(recs, e.services(wall)...)
-	return append(recs, e.assign(now, wall)...)
+	e.refresh(now)
+	recs = append(recs, e.assign(now, wall)...)
+	e.empty(now)
+	return recs
 }
 
 // lost returns the workers that are silent and whose leases have lapsed.
 func (e *Engine) lost(now, wall cowslipbend.Time) []cowslipbend.Record {
 	var recs []cowslipbend.Record
-	for _, id := range e.workers() {
+	for _, h := range e.index.hosts {
+		id := h.Spec.ID
 		w, s := e.state.Workers[id], e.seen[id]
 		if w.Condition == journaler.Silent || s == nil {
 			continue
@@ -227,11 +319,34 @@
 	return recs
 }
 
-func (e *Engine) workers() []cowslipbend.WorkerID {
-	ids := make([]cowslipbend.WorkerID, 0, len(e.state.Workers))
-	for id := range e.state.Workers {
-		ids = append(ids, id)
+// refresh brings the hosts up to date with time, settings and holds.
+func (e *Engine) refresh(now cowslipbend.Time) {
+	for _, h := range e.index.hosts {
+		w, s := e.state.Workers[h.Spec.ID], e.seen[h.Spec.ID]
+		h.Usable = w.Condition == journaler.Fit && !w.Drained && present(s, now, e.opts.Suspect)
+		h.Spare = part(h.Spec.Size, e.headroom)
+		h.Held = cowslipbend.Resources{}
+	}
+	for _, d := range e.holds {
+		if h := e.index.byID[d.worker]; h != nil {
+			h.Held = h.Held.Plus(d.size)
+		}
+	}
+}
+
+// present reports whether the worker is heard from and stays.
+func present(s *seen, now cowslipbend.Time, suspect cowslipbend.Span) bool {
+	return s != nil && s.heard && !s.leaving && now.Sub(s.at) <= suspect
+}
+
+// percent is the whole in percent.
+const percent = 100
+
+// part returns a percentage of an amount; accelerators are rounded down.
+func part(r cowslipbend.Resources, n int) cowslipbend.Resources {
+	return cowslipbend.Resources{
+		CPU:   r.CPU * cowslipbend.Millicores(n) / percent,
+		Mem:   r.Mem / percent * cowslipbend.Bytes(n),
+		Accel: r.Accel * cowslipbend.Accels(n) / percent,
 	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
 }
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"sort"
+
 	"cowslipbend.dev"
 	"cowslipbend.dev/journaler"
 )
@@ -32,30 +34,39 @@
 		}
 		return out[id]
 	}
-	for _, t := range e.state.Tasks {
-		if t.Worker == "" || !e.due(t, now) {
+	for _, t := range e.index.pending {
+		s := e.seen[t.Worker]
+		if s == nil || !s.due(t.ID, now, e.opts.Resend) {
 			continue
 		}
-		switch {
-		case t.Reason == "cancelled":
-			at(t.Worker).Stops = append(at(t.Worker).Stops, Ref{t.ID, t.Attempt})
-		case t.Phase == cowslipbend.Assigned:
-			at(t.Worker).Starts = append(at(t.Worker).Starts, e.start(t, epoch))
+		o := at(t.Worker)
+		if t.Reason == reasonCancelled {
+			o.Stops = append(o.Stops, Ref{t.ID, t.Attempt})
+			continue
 		}
+		o.Starts = append(o.Starts, e.start(t, epoch))
+	}
+	for _, i := range e.evicting.intents {
+		if s := e.seen[i.worker]; s != nil && s.due(i.task, now, e.opts.Resend) {
+			at(i.worker).Evicts = append(at(i.worker).Evicts, Ref{i.task, i.attempt})
+		}
+	}
+	e.stopStrays(now, at)
+	for _, o := range out {
+		o.sort()
 	}
-	e.strays(now, at)
 	return out
 }
 
-// due reports whether an order for the task may be sent now, and notes it.
-func (e *Engine) due(t *journaler.Task, now cowslipbend.Time) bool {
-	s := e.seen[t.Worker]
-	if s == nil || (t.Phase != cowslipbend.Assigned && t.Reason != "cancelled") {
-		return false
+// sort makes the orders the same on each run.
+func (o *Orders) sort() {
+	sort.Slice(o.Starts, func(i, j int) bool { return o.Starts[i].Task < o.Starts[j].Task })
+	for _, list := range [][]Ref{o.Evicts, o.Stops} {
+		sort.Slice(list, func(i, j int) bool { return list[i].Task < list[j].Task })
 	}
-	return s.due(t.ID, now, e.opts.Resend)
 }
 
+// due reports whether an order for the task may be sent now, and notes it.
 func (s *seen) due(task cowslipbend.TaskID, now cowslipbend.Time, resend cowslipbend.Span) bool {
 	if last, ok := s.sent[task]; ok && now.Sub(last) < resend {
 		return false
@@ -64,16 +75,18 @@
 	return true
 }
 
-// strays stops attempts that run where the journal does not have them.
-func (e *Engine) strays(now cowslipbend.Time, at func(cowslipbend.WorkerID) *Orders) {
+// stopStrays stops attempts that run where the journal does not have them.
+func (e *Engine) stopStrays(now cowslipbend.Time, at func(cowslipbend.WorkerID) *Orders) {
 	for worker, s := range e.seen {
-		for task, attempt := range s.runs {
-			t, known := e.state.Tasks[task]
-			if known && t.Worker == worker && t.Attempt == attempt {
+		if len(s.strays) == 0 {
+			continue
+		}
+		for _, r := range s.strays {
+			if t, known := e.state.Tasks[r.Task]; known && t.Worker == worker && t.Attempt == r.Attempt {
 				continue
 			}
-			if s.due(task, now, e.opts.Resend) {
-				at(worker).Stops = append(at(worker).Stops, Ref{task, attempt})
+			if s.due(r.Task, now, e.opts.Resend) {
+				at(worker).Stops = append(at(worker).Stops, r)
 			}
 		}
 	}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -39,17 +39,24 @@
 	storeWait = 500 * cowslipbend.Millisecond // between tries while the store is out
 )
 
-// event is one thing for the owner's loop: exactly one of the first four is
+// event is one thing for the owner's loop: exactly one of the fields before reply is
 // set.
 type event struct {
 	beat    *Beat
 	submit  *cowslipbend.Job
-	cancel  cowslipbend.JobID
+	cancel  []cowslipbend.JobID
+	drain   *draining
 	refused *refused
 	view    func(*Engine)
 	reply   chan error
 }
 
+// draining asks to empty a worker, or to give it back.
+type draining struct {
+	worker cowslipbend.WorkerID
+	back   bool
+}
+
 type refused struct {
 	worker cowslipbend.WorkerID
 	list   []Refusal
@@ -115,9 +122,19 @@
 	return o.ask(ctx, event{submit: &job})
 }
 
-// Cancel cancels a job once its record is committed.
-func (o *Owner) Cancel(ctx context.Context, id cowslipbend.JobID) error {
-	return o.ask(ctx, event{cancel: id})
+// Cancel cancels a wave of jobs once its one record is committed.
+func (o *Owner) Cancel(ctx context.Context, ids ...cowslipbend.JobID) error {
+	return o.ask(ctx, event{cancel: ids})
+}
+
+// Drain has a worker emptied once its record is committed.
+func (o *Owner) Drain(ctx context.Context, worker cowslipbend.WorkerID) error {
+	return o.ask(ctx, event{drain: &draining{worker: worker}})
+}
+
+// Undrain gives a worker back once its record is committed.
+func (o *Owner) Undrain(ctx context.Context, worker cowslipbend.WorkerID) error {
+	return o.ask(ctx, event{drain: &draining{worker: worker, back: true}})
 }
 
 // View calls f with the committed state, in the owner's thread.
@@ -212,8 +229,12 @@
 		return o.engine.Beat(*ev.beat, now, wall), nil
 	case ev.submit != nil:
 		return o.engine.Submit(*ev.submit, wall)
-	case ev.cancel != "":
+	case len(ev.cancel) > 0:
 		return o.engine.Cancel(ev.cancel, wall)
+	case ev.drain != nil && ev.drain.back:
+		return o.engine.Undrain(ev.drain.worker, wall)
+	case ev.drain != nil:
+		return o.engine.Drain(ev.drain.worker, wall)
 	case ev.refused != nil:
 		var recs []cowslipbend.Record
 		for _, r := range ev.refused.list {
--- a/scheduler/replica.go
+++ b/scheduler/replica.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"sort"
-	"strings"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/journaler"
@@ -13,10 +12,14 @@
 // the id of the replica's job.
 const replicaMark = ".replica-"
 
+// replacing is how many replicas of a service on workers that are emptied are
+// replaced at once.
+const replacing = 2
+
 // services submits the replicas that declared services lack, and cancels
-// those that are too many. A lost replica is replaced by one with a new id.
+// those that are too many. A lost replica is replaced by one with a new id;
+// one on a worker that is emptied goes only once its replacement runs.
 func (e *Engine) services(wall cowslipbend.Time) []cowslipbend.Record {
-	have := e.replicas()
 	var recs []cowslipbend.Record
 	declared := map[cowslipbend.ServiceID]bool{}
 	for i := range e.set.Services {
@@ -25,68 +28,89 @@
 			continue
 		}
 		declared[s.Name] = true
-		for n := len(have[s.Name]); n < s.Replicas; n++ {
-			recs = append(recs, cowslipbend.Record{Kind: cowslipbend.RecSubmitted, Job: e.replica(s), At: wall})
-		}
-		recs = append(recs, surplus(have[s.Name], s.Replicas, wall)...)
+		recs = append(recs, e.service(s, wall)...)
 	}
-	for name, jobs := range have {
-		if !declared[name] && len(e.set.Pools) > 0 {
-			recs = append(recs, surplus(jobs, 0, wall)...)
-		}
+	if len(e.set.Pools) == 0 {
+		return recs
+	}
+	for _, name := range e.undeclared(declared) {
+		recs = append(recs, cancel(e.sorted(name), wall)...)
 	}
 	return recs
 }
 
-func surplus(jobs []cowslipbend.JobID, want int, wall cowslipbend.Time) []cowslipbend.Record {
-	var recs []cowslipbend.Record
-	for i := want; i < len(jobs); i++ {
-		recs = append(recs, cowslipbend.Record{Kind: cowslipbend.RecCancelled, JobID: jobs[i], At: wall})
+// undeclared returns the services that have replicas but are not declared.
+func (e *Engine) undeclared(declared map[cowslipbend.ServiceID]bool) []cowslipbend.ServiceID {
+	var names []cowslipbend.ServiceID
+	for name, list := range e.index.replicas {
+		if !declared[name] && len(list) > 0 {
+			names = append(names, name)
+		}
 	}
-	return recs
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// sorted returns the living replicas of a service, oldest first.
+func (e *Engine) sorted(name cowslipbend.ServiceID) []*journaler.Task {
+	list := make([]*journaler.Task, 0, len(e.index.replicas[name]))
+	for _, t := range e.index.replicas[name] {
+		list = append(list, t)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
 }
 
-// replicas returns the jobs of living replicas by service, oldest first.
-func (e *Engine) replicas() map[cowslipbend.ServiceID][]cowslipbend.JobID {
-	have := map[cowslipbend.ServiceID][]cowslipbend.JobID{}
-	for id, job := range e.state.Jobs {
-		if job.Batch() {
+// service compares one service with its declaration.
+func (e *Engine) service(s *cowslipbend.Service, wall cowslipbend.Time) []cowslipbend.Record {
+	var stay, leave []*journaler.Task
+	run := 0
+	for _, t := range e.sorted(s.Name) {
+		if t.Worker != "" && e.goes(t.Worker) {
+			leave = append(leave, t)
 			continue
 		}
-		e.number(job)
-		t := e.state.Tasks[cowslipbend.MakeTaskID(id, 0)]
-		if !t.Phase.Ended() && t.Reason != "cancelled" && !e.gone(t) {
-			have[job.Service] = append(have[job.Service], id)
+		stay = append(stay, t)
+		if t.Phase == cowslipbend.Running {
+			run++
 		}
 	}
-	for _, jobs := range have {
-		sort.Slice(jobs, func(i, j int) bool { return jobs[i] < jobs[j] })
+	lack := s.Replicas - len(stay)
+	if len(leave) > 0 {
+		lack = min(lack, s.Replicas-run-len(leave)+replacing-(len(stay)-run))
 	}
-	return have
-}
-
-// gone reports whether the replica's worker is lost.
-func (e *Engine) gone(t *journaler.Task) bool {
-	w, ok := e.state.Workers[t.Worker]
-	return ok && w.Condition == journaler.Silent
+	var recs []cowslipbend.Record
+	for range max(lack, 0) {
+		recs = append(recs, cowslipbend.Record{Kind: cowslipbend.RecSubmitted, Job: e.replica(s), At: wall})
+	}
+	if n := len(stay) - s.Replicas; n > 0 {
+		recs = append(recs, cancel(stay[s.Replicas:], wall)...)
+	}
+	if n := min(run+len(leave)-s.Replicas, len(leave)); n > 0 {
+		recs = append(recs, cancel(leave[:n], wall)...)
+	}
+	return recs
 }
 
-func (e *Engine) number(job *cowslipbend.Job) {
-	_, text, _ := strings.Cut(string(job.ID), replicaMark)
-	var n int
-	if _, err := fmt.Sscanf(text, "%d", &n); err == nil {
-		e.next[job.Service] = max(e.next[job.Service], n)
+func cancel(list []*journaler.Task, wall cowslipbend.Time) []cowslipbend.Record {
+	if len(list) == 0 {
+		return nil
+	}
+	r := cowslipbend.Record{Kind: cowslipbend.RecCancelled, At: wall}
+	for _, t := range list {
+		r.Jobs = append(r.Jobs, t.Job)
 	}
+	return []cowslipbend.Record{r}
 }
 
 func (e *Engine) replica(s *cowslipbend.Service) *cowslipbend.Job {
-	e.next[s.Name]++
+	e.index.next[s.Name]++
 	class := s.Class
 	if class == "" {
 		class = cowslipbend.Class(s.Name)
 	}
 	return &cowslipbend.Job{
-		ID:   cowslipbend.JobID(fmt.Sprintf("%s%s%06d", s.Name, replicaMark, e.next[s.Name])),
+		ID:   cowslipbend.JobID(fmt.Sprintf("%s%s%06d", s.Name, replicaMark, e.index.next[s.Name])),
 		Pool: s.Pool, Team: s.Team, Class: class, Tasks: 1, Size: s.Size, Work: s.Work, Service: s.Name,
 	}
 }
