--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -17,15 +17,25 @@
 	// taken undoes the reservations of the pass, which the records make anew.
 	taken []func()
 	// full lists sizes that no host had room for in this pass.
-	full map[queuer.Tier][]cowslipbend.Resources
-	// fresh counts the rooms held and the evictions chosen in this pass.
+	full      map[queuer.Tier][]cowslipbend.Resources
+	cancelled map[cowslipbend.JobID]bool
+	// fresh counts the searches for victims in this pass.
 	fresh int
+	// suspects are the workers in quarantine that are due for a probe.
+	suspects []*cowslipbend.Host
 }
 
-// assign places queued tasks in the order of the queue.
-func (e *Engine) assign(now, wall cowslipbend.Time) []cowslipbend.Record {
-	a := &assigning{Engine: e, now: now, wall: wall, full: map[queuer.Tier][]cowslipbend.Resources{}}
+// assign places queued tasks in the order of the queue, but for those that the
+// earlier records of the same decision cancel.
+func (e *Engine) assign(now, wall cowslipbend.Time, earlier []cowslipbend.Record) []cowslipbend.Record {
+	a := &assigning{Engine: e, now: now, wall: wall, full: map[queuer.Tier][]cowslipbend.Resources{}, cancelled: map[cowslipbend.JobID]bool{}}
+	for i := range earlier {
+		for _, id := range earlier[i].Jobs {
+			a.cancelled[id] = true
+		}
+	}
 	e.prune()
+	a.suspects = e.suspects(now)
 	e.index.queue.Serve(wall, e.index.total, a.offer)
 	for _, undo := range a.taken {
 		undo()
@@ -39,6 +49,9 @@
 	if a.starts >= a.opts.Starts {
 		return none, queuer.Stopped
 	}
+	if a.cancelled[job.ID] {
+		return none, queuer.Blocked
+	}
 	t := a.state.Tasks[item.Task]
 	if reason := a.hopeless(t, job); reason != "" {
 		a.recs = append(a.recs, cowslipbend.Record{Kind: cowslipbend.RecParked, Task: t.ID, Reason: reason, At: a.wall})
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -298,7 +298,7 @@
 	recs = append(recs, e.quarantine(wall)...)
 	recs = append(recs, e.services(wall)...)
 	e.refresh(now)
-	recs = append(recs, e.assign(now, wall)...)
+	recs = append(recs, e.assign(now, wall, recs)...)
 	e.empty(now)
 	return recs
 }
--- a/scheduler/evict.go
+++ b/scheduler/evict.go
@@ -34,7 +34,7 @@
 	last cowslipbend.Time
 }
 
-// take reports whether n evictions are within the budget, and counts them.
+// has refills the budget and reports whether n evictions are within it.
 func (b *budget) has(n int, now cowslipbend.Time, each cowslipbend.Span, burst int) bool {
 	b.left = min(float64(burst), b.left+float64(now.Sub(b.last))/float64(each))
 	b.last = now
@@ -106,7 +106,7 @@
 // evictFor chooses the cheapest victims that make room for an urgent task,
 // holds the room for it, and reports whether it did.
 func (a *assigning) evictFor(t *journaler.Task, ask cowslipbend.Ask) bool {
-	if a.fresh++; a.fresh > triesPerPass {
+	if a.fresh++; a.fresh > triesPerPass || !a.evicting.pool.has(1, a.now, a.opts.Evict, a.opts.Burst) {
 		return false
 	}
 	var best *plan
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -130,29 +130,42 @@
 	return recs
 }
 
-// probe gives a task that has not failed to a worker in quarantine that is
-// due for one, and reports whether it did.
-func (a *assigning) probe(t *journaler.Task, job *cowslipbend.Job, ask cowslipbend.Ask) bool {
-	if queuer.TierOf(job) != queuer.Normal || len(t.Failed) > 0 || len(a.health.failed[job.ID]) > 0 {
-		return false
-	}
-	for _, h := range a.index.hosts {
+// suspects returns the workers in quarantine that are due for a probe.
+func (e *Engine) suspects(now cowslipbend.Time) []*cowslipbend.Host {
+	var list []*cowslipbend.Host
+	for _, h := range e.index.hosts {
 		id := h.Spec.ID
-		w := a.state.Workers[id]
-		if w.Condition != journaler.Quarantined || w.Drained || !present(a.seen[id], a.now, a.opts.Suspect) {
+		w := e.state.Workers[id]
+		if w.Condition != journaler.Quarantined || w.Drained || !present(e.seen[id], now, e.opts.Suspect) {
 			continue
 		}
-		p, known := a.health.probes[id]
+		p, known := e.health.probes[id]
 		if !known {
-			p = probing{next: a.now.Add(a.opts.Probe), wait: a.opts.Probe}
-			a.health.probes[id] = p
+			p = probing{next: now.Add(e.opts.Probe), wait: e.opts.Probe}
+			e.health.probes[id] = p
 		}
-		if p.next > a.now || !ask.Size.Fits(h.Room(&ask)) {
+		if p.next <= now {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// probe gives a task that has not failed to a worker that is due for a probe,
+// and reports whether it did.
+func (a *assigning) probe(t *journaler.Task, job *cowslipbend.Job, ask cowslipbend.Ask) bool {
+	if len(a.suspects) == 0 || queuer.TierOf(job) != queuer.Normal || len(t.Failed) > 0 || len(a.health.failed[job.ID]) > 0 {
+		return false
+	}
+	for i, h := range a.suspects {
+		if !ask.Size.Fits(h.Room(&ask)) {
 			continue
 		}
+		p := a.health.probes[h.Spec.ID]
 		p.wait = min(2*p.wait, maxProbing)
 		p.next = a.now.Add(p.wait)
-		a.health.probes[id] = p
+		a.health.probes[h.Spec.ID] = p
+		a.suspects = append(a.suspects[:i], a.suspects[i+1:]...)
 		a.put(h, t, job, ask.Size)
 		return true
 	}
