--- a/agent/runner/calls.go
+++ b/agent/runner/calls.go
@@ -11,14 +11,29 @@
 // calls serves control.Agent.
 type calls struct{ agent *Agent }
 
-// Void settles what became of a request.
-func (c *calls) Void(_ context.Context, r *control.VoidRequest) (*control.VoidReply, error) {
+// maxWait bounds how long a question waits for the end of a request.
+const maxWait = 10 * cowslipbend.Second
+
+// Void settles what became of a request. While it runs, the question waits
+// for its end as long as the asker wants.
+func (c *calls) Void(ctx context.Context, r *control.VoidRequest) (*control.VoidReply, error) {
 	if err := cowslipbend.CheckName("request", r.GetRequest()); err != nil {
 		return nil, control.ToTwirp(err)
 	}
-	state, answer := c.agent.gate.Void(
-		cowslipbend.RequestID(r.GetRequest()), cowslipbend.Incarnation(r.GetLife()), cowslipbend.Time(r.GetToken()), r.GetCancel(),
-	)
+	gate := c.agent.gate
+	q := gater.Question{
+		ID: cowslipbend.RequestID(r.GetRequest()), Life: cowslipbend.Incarnation(r.GetLife()),
+		Token: cowslipbend.Time(r.GetToken()), Once: r.GetOnce(), Cancel: r.GetCancel(),
+	}
+	state, answer := gate.Void(q)
+	if wait := min(cowslipbend.Span(r.GetWait()), maxWait); state == gater.Pending && wait > 0 {
+		select {
+		case <-gate.Wait(q.ID):
+		case <-c.agent.clock.After(wait):
+		case <-ctx.Done():
+		}
+		state, answer = gate.Void(q)
+	}
 	reply := &control.VoidReply{State: string(state)}
 	if state == gater.Done {
 		reply.Status = int32(answer.Status)
--- a/agent/runner/run.go
+++ b/agent/runner/run.go
@@ -7,7 +7,6 @@
 	"net/http"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"cowslipbend.dev"
@@ -28,6 +27,7 @@
 	workerTimeout = 2 * cowslipbend.Second
 	beatTimeout   = 2 * cowslipbend.Second
 	silence       = 5 * cowslipbend.Second // of an endpoint before it is dropped
+	watchTimeout  = cowslipbend.Second     // for watches to end after the drain time
 	endpointConns = 64
 )
 
@@ -96,7 +96,7 @@
 	mux.Handle(rpc.PathPrefix(), server.Guard(a.settings.Secret, rpc))
 	conf := control.NewConfigServer(a.config)
 	mux.Handle(conf.PathPrefix(), server.Guard(a.settings.Secret, conf))
-	server.Ops(mux, prometheus.NewRegistry(), a.ready)
+	server.Ops(mux, a.metrics(), a.ready)
 	return mux
 }
 
@@ -151,10 +151,22 @@
 func (a *Agent) drain(ctx context.Context) {
 	idle := a.gate.Leave()
 	a.beats.Beat(ctx)
+	if a.await(idle, a.settings.Drain) {
+		return
+	}
+	a.forward.EndWatches()
+	if !a.await(idle, watchTimeout) {
+		a.log.Warn("requests were still in flight at the end of the drain time")
+	}
+}
+
+// await waits for the channel and reports whether it was closed in time.
+func (a *Agent) await(idle <-chan struct{}, s cowslipbend.Span) bool {
 	select {
 	case <-idle:
-	case <-a.clock.After(a.settings.Drain):
-		a.log.Warn("requests were still in flight at the end of the drain time")
+		return true
+	case <-a.clock.After(s):
+		return false
 	}
 }
 
--- a/beater/beater.go
+++ b/beater/beater.go
@@ -149,7 +149,7 @@
 	for _, ep := range b.gate.Endpoints() {
 		req.Endpoints = append(req.Endpoints, &control.Endpoint{
 			Service: string(ep.Service), Id: string(ep.ID), Slots: int32(ep.Slots), Conns: int32(ep.Conns),
-			Inflight: int32(ep.Inflight), Latency: ep.Latency, Errors: int32(ep.Errors), Leaving: ep.Leaving,
+			Inflight: int32(ep.Inflight), Open: int32(ep.Open), Latency: ep.Latency, Errors: int32(ep.Errors), Leaving: ep.Leaving,
 		})
 	}
 	if !owned {
--- a/entry/main.go
+++ b/entry/main.go
@@ -29,6 +29,7 @@
 			starter.String("secret", "", "secret shared by the processes of the system"),
 			starter.String("log", d.Log, "level of the log"),
 			starter.String("routing", d.Routing, "routing policy: adaptive, leastinflight or random"),
+			starter.Int("retries", d.Retries, "percent of requests that may be sent again after an attempt that may have run"),
 			starter.Span("lease", d.Lease, "length of batch leases (L)"),
 			starter.Span("cap", d.Cap, "cap of leases that witnesses extend (H)"),
 			starter.Span("delay", d.Delay, "time that the balancer takes to notice a leaving entry"),
@@ -42,7 +43,7 @@
 	s := runner.Settings{
 		ID: cowslipbend.EntryID(c.String("id")), Domain: cowslipbend.Domain(c.String("domain")),
 		Listen: c.String("listen"), Store: c.String("store"), Secret: c.String("secret"), Log: c.String("log"),
-		Routing: c.String("routing"), Lease: cowslipbend.SpanOf(c.Duration("lease")), Cap: cowslipbend.SpanOf(c.Duration("cap")),
+		Routing: c.String("routing"), Retries: c.Int("retries"), Lease: cowslipbend.SpanOf(c.Duration("lease")), Cap: cowslipbend.SpanOf(c.Duration("cap")),
 		Delay: cowslipbend.SpanOf(c.Duration("delay")), Drain: cowslipbend.SpanOf(c.Duration("drain")),
 	}
 	log, err := starter.Logger("entry", s.Log, os.Stderr)
--- a/entry/runner/calls.go
+++ b/entry/runner/calls.go
@@ -79,7 +79,8 @@
 func (c *calls) Sync(_ context.Context, r *control.SyncRequest) (*control.SyncReply, error) {
 	e := c.entry
 	e.hear(r.GetSelf(), cowslipbend.Revision(r.GetRevision()))
-	reply := &control.SyncReply{Self: toPeer(e.peer()), Revision: int64(e.config.Revision())}
+	e.limits.Hear(cowslipbend.EntryID(r.GetSelf().GetId()), fromCounts(r.GetCounts()))
+	reply := &control.SyncReply{Self: toPeer(e.peer()), Revision: int64(e.config.Revision()), Counts: e.counts()}
 	for _, p := range e.track.Peers() {
 		reply.Peers = append(reply.Peers, toPeer(p))
 	}
--- a/entry/runner/member.go
+++ b/entry/runner/member.go
@@ -86,7 +86,7 @@
 	}
 	_ = g.Wait()
 	e.track.Sweep(agentSilence)
-	e.limits.Share(len(e.LiveEntries()))
+	e.limits.Tick(e.others())
 	return nil
 }
 
@@ -94,11 +94,12 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout.Duration())
 	defer cancel()
 	client := control.NewEntryProtobufClient(p.URL, e.http)
-	reply, err := client.Sync(ctx, &control.SyncRequest{Self: toPeer(e.peer()), Revision: int64(e.config.Revision())})
+	reply, err := client.Sync(ctx, &control.SyncRequest{Self: toPeer(e.peer()), Revision: int64(e.config.Revision()), Counts: e.counts()})
 	if err != nil {
 		return // Silence is what tells.
 	}
 	e.hear(reply.GetSelf(), cowslipbend.Revision(reply.GetRevision()))
+	e.limits.Hear(p.ID, fromCounts(reply.GetCounts()))
 	for _, other := range reply.GetPeers() {
 		if cowslipbend.EntryID(other.GetId()) != e.settings.ID {
 			e.track.Rumour(fromPeer(other))
--- a/entry/runner/run.go
+++ b/entry/runner/run.go
@@ -40,6 +40,7 @@
 	peerSilence  = 3 * cowslipbend.Second
 	agentSilence = 3 * cowslipbend.Second
 	closeTimeout = 2 * cowslipbend.Second
+	trimPeriod   = cowslipbend.Minute
 )
 
 // Entry is a running entry.
@@ -54,6 +55,10 @@
 	configs  publisher.Store
 	limits   *limiter.Limiter
 	router   *router.Router
+	claims   *router.TableClaims
+	receiver *receiver.Receiver
+	metrics  *prometheus.Registry
+	calls    *requestMetrics
 	owners   *scheduler.Owners
 	director *director.Director
 	main     *server.Server
@@ -79,7 +84,7 @@
 	e := &Entry{
 		settings: s, clock: clock, log: log, life: cowslipbend.Incarnation(cowslipbend.DrawID()),
 		store: storer.New(s.Store, storeTimeout), track: tracker.New(clock, s.Domain),
-		config: publisher.NewHolder(s.Secret, log), limits: limiter.New(), http: dialer.Pooled(s.Secret),
+		config: publisher.NewHolder(s.Secret, log), limits: limiter.New(clock), http: dialer.Pooled(s.Secret),
 	}
 	e.configs = publisher.Store{Table: e.store, Objects: e.store.Objects()}
 	policy, err := router.Policy(s.Routing)
@@ -88,12 +93,16 @@
 	}
 	opts := router.Defaults()
 	opts.Secret = s.Secret
-	e.router = router.New(e.track, policy, router.TableClaims{Table: e.store}, opts, log)
+	opts.Retries = s.Retries
+	e.claims = router.NewClaims(e.store, clock)
+	e.router = router.New(e.track, policy, e.claims, opts, clock, log)
 	e.config.OnChange(func(_ cowslipbend.Revision, set *cowslipbend.Set) { e.limits.Declare(set.Limits) })
 	handler := &lateHandler{}
 	if e.main, err = server.Listen(s.Listen, handler); err != nil {
 		return nil, err
 	}
+	e.metrics = prometheus.NewRegistry()
+	e.calls = newRequestMetrics(e.metrics)
 	e.build()
 	handler.Handler = e.handler()
 	return e, nil
@@ -125,7 +134,8 @@
 func (e *Entry) handler() http.Handler {
 	ec := echo.New()
 	ec.HideBanner = true
-	receiver.New(e.router, e.limits, e.config, e.count, e.log).Register(ec)
+	e.receiver = receiver.New(e.router, e.limits, e.config, e.count, e.log)
+	e.receiver.Register(ec)
 	e.director.Register(ec)
 	mux := http.NewServeMux()
 	mux.Handle("/", ec)
@@ -133,11 +143,14 @@
 	mux.Handle(rpc.PathPrefix(), server.Guard(e.settings.Secret, rpc))
 	conf := control.NewConfigServer(e.config)
 	mux.Handle(conf.PathPrefix(), server.Guard(e.settings.Secret, conf))
-	server.Ops(mux, prometheus.NewRegistry(), e.ready)
+	server.Ops(mux, e.metrics, e.ready)
 	return mux
 }
 
-func (e *Entry) count(cowslipbend.ServiceID, cowslipbend.Outcome, cowslipbend.Kind, time.Duration) {}
+// count counts the end of a request.
+func (e *Entry) count(service cowslipbend.ServiceID, outcome cowslipbend.Outcome, kind cowslipbend.Kind, took time.Duration) {
+	e.calls.count(service, outcome, kind, took)
+}
 
 func (e *Entry) ready() error {
 	if e.leaving.Load() {
@@ -173,6 +186,8 @@
 	g.Go(func() error { return timer.Every(work, e.clock, syncPeriod, e.sync) })
 	g.Go(func() error { return timer.Every(work, e.clock, configPeriod, e.refresh) })
 	g.Go(func() error { return e.enrol(work) })
+	g.Go(func() error { return e.claims.Run(work) })
+	g.Go(func() error { return timer.Every(work, e.clock, trimPeriod, e.trim) })
 	g.Go(func() error {
 		select {
 		case <-work.Done():
@@ -197,8 +212,10 @@
 
 // shutdown lets the requests in flight finish and closes what is open.
 func (e *Entry) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Drain.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), (e.settings.Drain + closeTimeout).Duration())
 	defer cancel()
+	watches := time.AfterFunc(e.settings.Drain.Duration(), e.receiver.EndWatches)
+	defer watches.Stop()
 	e.main.Shutdown(ctx)
 	e.router.Close()
 	e.director.Close()
--- a/entry/runner/settings.go
+++ b/entry/runner/settings.go
@@ -20,6 +20,9 @@
 	Secret  string
 	Log     string
 	Routing string
+	// Retries is the share of requests, in percent, that may be sent again
+	// after an attempt that may have run.
+	Retries int
 	Lease   cowslipbend.Span
 	Cap     cowslipbend.Span
 	// Delay is how long the balancer may still send callers after SIGTERM,
@@ -32,7 +35,7 @@
 func Defaults() Settings {
 	terms := leaser.Defaults()
 	return Settings{
-		Listen: "127.0.0.1:7001", Store: "http://127.0.0.1:7000", Log: "info", Routing: "adaptive",
+		Listen: "127.0.0.1:7001", Store: "http://127.0.0.1:7000", Log: "info", Routing: "adaptive", Retries: router.Defaults().Retries,
 		Lease: terms.Length, Cap: terms.Cap, Delay: 2 * cowslipbend.Second, Drain: cowslipbend.Minute,
 	}
 }
@@ -49,6 +52,9 @@
 	if _, err := router.Policy(s.Routing); err != nil {
 		l.Add(err)
 	}
+	if s.Retries < 0 || s.Retries > 100 {
+		l.Add(cowslipbend.Invalid("--retries", "is out of bounds", "give 0 to 100 percent"))
+	}
 	if s.Lease < cowslipbend.Second || s.Lease > cowslipbend.Minute {
 		l.Add(cowslipbend.Invalid("--lease", s.Lease.String()+" is out of bounds", "give 1s to 1m"))
 	}
--- a/gater/endpoint.go
+++ b/gater/endpoint.go
@@ -46,11 +46,40 @@
 	Announcement
 	seen     cowslipbend.Time
 	leaving  bool
-	inflight int
+	inflight int   // slots taken
+	open     int   // connections taken; at least inflight
 	latency  int64 // microseconds, smoothed
 	errors   int   // per mille, smoothed
 }
 
+// fits reports whether one more request can run. A watch takes a connection
+// but no slot, any other request takes both.
+func (e *endpoint) fits(watch bool) bool {
+	return e.open < e.Conns && (watch || e.inflight < e.Slots)
+}
+
+func (e *endpoint) take(watch bool) {
+	e.open++
+	if !watch {
+		e.inflight++
+	}
+}
+
+func (e *endpoint) free(watch bool) {
+	e.open--
+	if !watch {
+		e.inflight--
+	}
+}
+
+// room is what the endpoint has left of what the request needs.
+func (e *endpoint) room(watch bool) int {
+	if watch {
+		return e.Conns - e.open
+	}
+	return e.Slots - e.inflight
+}
+
 // smoothing is the divisor of the moving averages.
 const smoothing = 16
 
@@ -58,17 +87,20 @@
 const perMille = 1000
 
 // measure takes the outcome of one request into the averages.
-func (e *endpoint) measure(took cowslipbend.Span, failed bool) {
+func (e *endpoint) measure(micros int64, failed bool) {
 	sample := 0
 	if failed {
 		sample = perMille
 	}
 	e.errors += (sample - e.errors) / smoothing
-	micros := took.Duration().Microseconds()
 	e.latency += (micros - e.latency) / smoothing
 }
 
-// Announce adds an endpoint or refreshes it.
+// maxEndpoints bounds the endpoints of one agent.
+const maxEndpoints = 1024
+
+// Announce adds an endpoint or refreshes it. It returns KindInvalid for a
+// faulty announcement and KindLimited if there are too many endpoints.
 func (g *Gate) Announce(a Announcement) error {
 	if err := a.Check(); err != nil {
 		return err
@@ -76,6 +108,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	ep, ok := g.byID[a.ID]
+	if !ok && len(g.byID) >= maxEndpoints {
+		return cowslipbend.Fail(cowslipbend.KindLimited, "agent has 1024 endpoints already", "withdraw those that are gone")
+	}
 	if !ok {
 		ep = &endpoint{}
 		g.byID[a.ID] = ep
@@ -108,14 +143,14 @@
 			continue
 		}
 		ep.leaving = true
-		if ep.inflight == 0 {
+		if ep.open == 0 {
 			delete(g.byID, id)
 		}
 	}
 }
 
-// pick returns the endpoint of the service with the most free slots.
-func (g *Gate) pick(service cowslipbend.ServiceID) (*endpoint, error) {
+// pick returns the endpoint of the service with the most room.
+func (g *Gate) pick(service cowslipbend.ServiceID, watch bool) (*endpoint, error) {
 	var best *endpoint
 	known := false
 	for _, ep := range g.byID {
@@ -123,10 +158,10 @@
 			continue
 		}
 		known = true
-		if ep.leaving || ep.inflight >= ep.Slots {
+		if ep.leaving || !ep.fits(watch) {
 			continue
 		}
-		if best == nil || ep.Slots-ep.inflight > best.Slots-best.inflight {
+		if best == nil || ep.room(watch) > best.room(watch) {
 			best = ep
 		}
 	}
@@ -136,13 +171,14 @@
 	if !known {
 		return nil, cowslipbend.Fail(cowslipbend.KindMissing, "no endpoint of service "+string(service)+" here", "route the request elsewhere")
 	}
-	return nil, cowslipbend.Fail(cowslipbend.KindBusy, "all slots are taken", "route the request elsewhere")
+	return nil, cowslipbend.Fail(cowslipbend.KindBusy, "all slots or connections are taken", "route the request elsewhere")
 }
 
 // EndpointState is a gate's view of one endpoint.
 type EndpointState struct {
 	Announcement
 	Inflight int
+	Open     int   // connections taken
 	Latency  int64 // microseconds
 	Errors   int   // per mille
 	Leaving  bool
@@ -157,6 +193,7 @@
 		states = append(states, EndpointState{
 			Announcement: ep.Announcement,
 			Inflight:     ep.inflight,
+			Open:         ep.open,
 			Latency:      ep.latency,
 			Errors:       ep.errors,
 			Leaving:      ep.leaving || g.leaving,
@@ -179,6 +216,8 @@
 		n++
 		sum.Slots += ep.Slots
 		sum.Inflight += ep.inflight
+		sum.Conns += ep.Conns
+		sum.Open += ep.open
 		sum.Latency += ep.latency
 		sum.Errors += ep.errors
 		sum.Leaving = sum.Leaving && (ep.leaving || g.leaving)
--- a/gater/expiry.go
+++ b/gater/expiry.go
@@ -39,7 +39,7 @@
 func (g *Gate) expire(now cowslipbend.Time) {
 	for len(g.queue) > 0 && g.queue[0].at < now {
 		id := heap.Pop(&g.queue).(expiring).id
-		g.kept -= cowslipbend.Bytes(len(g.records[id].answer.Body))
+		g.kept -= g.records[id].answer.size()
 		delete(g.records, id)
 	}
 }
--- a/gater/gate.go
+++ b/gater/gate.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"time"
 
 	"cowslipbend.dev"
 )
@@ -57,6 +58,17 @@
 	Body   []byte
 }
 
+// size returns about what the answer takes in memory.
+func (a *Answer) size() cowslipbend.Bytes {
+	n := len(a.Body)
+	for name, values := range a.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return cowslipbend.Bytes(n)
+}
+
 // Request asks the gate for a slot.
 type Request struct {
 	ID      cowslipbend.RequestID
@@ -64,6 +76,19 @@
 	Life    cowslipbend.Incarnation
 	Token   cowslipbend.Time
 	Once    bool
+	// Watch marks a stream without a time limit.
+	Watch bool
+}
+
+// Question asks what became of a request.
+type Question struct {
+	ID    cowslipbend.RequestID
+	Life  cowslipbend.Incarnation
+	Token cowslipbend.Time
+	// Once is set for a non-idempotent request, which is remembered longer.
+	Once bool
+	// Cancel also stops the request if it runs.
+	Cancel bool
 }
 
 // record is the memory of one request. A record with state Never is a
@@ -111,9 +136,10 @@
 // retention has passed.
 func (g *Gate) Token() cowslipbend.Time { return g.clock.Now() }
 
-// Accept records the request and takes a slot of an endpoint, or refuses it
-// for certain: every error means that the request has not run through this
-// call. KindConflict means that the id is already known.
+// Accept records the request and takes room at an endpoint, or refuses it for
+// certain: every error means that the request has not run through this call.
+// KindConflict means that the id was voided, so that nothing runs under it;
+// KindUnknown that the id was accepted before, so that it may have run.
 func (g *Gate) Accept(r Request) (*Ticket, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -122,15 +148,15 @@
 	if err := g.admit(r, now); err != nil {
 		return nil, err
 	}
-	ep, err := g.pick(r.Service)
+	ep, err := g.pick(r.Service, r.Watch)
 	if err != nil {
 		return nil, err
 	}
-	ep.inflight++
+	ep.take(r.Watch)
 	g.active++
 	rec := &record{state: Pending, once: r.Once, done: make(chan struct{})}
 	g.records[r.ID] = rec
-	return &Ticket{gate: g, id: r.ID, rec: rec, ep: ep, URL: ep.URL, began: now}, nil
+	return &Ticket{gate: g, id: r.ID, rec: rec, ep: ep, watch: r.Watch, URL: ep.URL, began: time.Now()}, nil
 }
 
 // admit checks all that does not depend on an endpoint.
@@ -144,8 +170,10 @@
 	if g.leaving {
 		return cowslipbend.Fail(cowslipbend.KindLeaving, "agent is shutting down", "route the request elsewhere")
 	}
-	if _, seen := g.records[r.ID]; seen {
-		return cowslipbend.Fail(cowslipbend.KindConflict, "request id is already known", "ask what became of it")
+	if rec, seen := g.records[r.ID]; seen && rec.state == Never {
+		return cowslipbend.Fail(cowslipbend.KindConflict, "request was voided", "route it anew under another id")
+	} else if seen {
+		return cowslipbend.Fail(cowslipbend.KindUnknown, "request id was accepted before", "ask what became of it")
 	}
 	if len(g.records) >= g.opts.Records {
 		return &cowslipbend.Error{Kind: cowslipbend.KindBusy, What: "agent remembers too many requests", Remedy: "try again", After: cowslipbend.Second}
@@ -153,45 +181,64 @@
 	return nil
 }
 
-// old reports whether records about requests with the token may be gone.
+// old reports whether requests with the token are refused.
 func (g *Gate) old(token, now cowslipbend.Time) bool {
 	return token > now || now.Sub(token) > g.opts.Retention
 }
 
+// forgotten reports whether the record of a request with the token may be
+// gone. A record outlives the end of its request, and so its token, by the
+// retention, and that of a non-idempotent one by the time its answer is kept.
+func (g *Gate) forgotten(q Question, now cowslipbend.Time) bool {
+	keep := g.opts.Retention
+	if q.Once {
+		keep = max(keep, g.opts.Keep)
+	}
+	return q.Token > now || now.Sub(q.Token) > keep
+}
+
 // Void settles the fate of a request whose answer was lost. Never means that
-// it has not run and that this gate will refuse it from now on.
-func (g *Gate) Void(id cowslipbend.RequestID, life cowslipbend.Incarnation, token cowslipbend.Time, cancel bool) (State, Answer) {
+// it has not run and that this gate will refuse it from now on: by its
+// tombstone first, by the age of its token later.
+func (g *Gate) Void(q Question) (State, Answer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	g.expire(now)
-	if life != g.life {
+	if q.Life != g.life {
 		return Unknowable, Answer{}
 	}
-	rec, ok := g.records[id]
-	if !ok && g.old(token, now) {
+	rec, ok := g.records[q.ID]
+	if !ok && (g.forgotten(q, now) || len(g.records) >= 2*g.opts.Records) {
 		return Unknowable, Answer{}
 	}
 	if !ok {
 		rec = &record{state: Never}
-		g.records[id] = rec
-		g.retire(id, rec, now.Add(g.opts.Retention))
+		g.records[q.ID] = rec
+		g.retire(q.ID, rec, now.Add(g.opts.Retention))
 		return Never, Answer{}
 	}
-	if cancel && rec.state == Pending && rec.cancel != nil {
+	if q.Cancel && rec.state == Pending && rec.cancel != nil {
 		rec.cancel()
 	}
 	return rec.state, rec.answer
 }
 
-// Wait returns a channel that is closed when the request has ended, or nil if
-// it is not running here.
+// closed is the channel of requests that have ended.
+var closed = func() chan struct{} {
+	ch := make(chan struct{})
+	close(ch)
+	return ch
+}()
+
+// Wait returns a channel that is closed unless the request runs here, and
+// will be when it has ended.
 func (g *Gate) Wait(id cowslipbend.RequestID) <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	rec, ok := g.records[id]
 	if !ok || rec.state != Pending {
-		return nil
+		return closed
 	}
 	return rec.done
 }
--- a/gater/gate_test.go
+++ b/gater/gate_test.go
@@ -25,6 +25,10 @@
 	return gater.Request{ID: id, Service: "s", Life: life, Token: g.Token()}
 }
 
+func question(life cowslipbend.Incarnation, token cowslipbend.Time) gater.Question {
+	return gater.Question{ID: "a", Life: life, Token: token, Once: true}
+}
+
 func assertKind(t *testing.T, err error, kind cowslipbend.Kind) {
 	t.Helper()
 	assert.Equal(t, cowslipbend.KindOf(err), kind, "%v", err)
@@ -43,7 +47,7 @@
 	})
 	t.Run("refuses a voided id", func(t *testing.T) {
 		g, _ := newGate(t, 1)
-		state, _ := g.Void("a", life, g.Token(), false)
+		state, _ := g.Void(question(life, g.Token()))
 		assert.Equal(t, state, gater.Never)
 		_, err := g.Accept(request(g, "a"))
 		assertKind(t, err, cowslipbend.KindConflict)
@@ -51,7 +55,7 @@
 	t.Run("refuses an old token after the tombstone is gone", func(t *testing.T) {
 		g, clock := newGate(t, 1)
 		r := request(g, "a")
-		g.Void("a", life, r.Token, false)
+		g.Void(question(life, r.Token))
 		clock.Advance(gater.Defaults().Retention + 1)
 		_, err := g.Accept(r)
 		assertKind(t, err, cowslipbend.KindStale)
@@ -65,10 +69,52 @@
 	})
 }
 
+func TestWatch(t *testing.T) {
+	clock := &timer.Manual{}
+	g := gater.New(life, clock, gater.Defaults())
+	assert.NilError(t, g.Announce(gater.Announcement{ID: "e", Service: "s", URL: "http://127.0.0.1:1", Slots: 1, Conns: 2}))
+	watch := request(g, "w")
+	watch.Watch = true
+	_, err := g.Accept(watch)
+	assert.NilError(t, err)
+	plain, err := g.Accept(request(g, "a"))
+	assert.NilError(t, err, "a watch takes no slot")
+	watch.ID = "w2"
+	_, err = g.Accept(watch)
+	assertKind(t, err, cowslipbend.KindBusy)
+	plain.Unrun()
+	_, err = g.Accept(watch)
+	assert.NilError(t, err, "a plain request had taken the connection")
+	_, err = g.Accept(request(g, "b"))
+	assertKind(t, err, cowslipbend.KindBusy)
+}
+
 func TestVoid(t *testing.T) {
 	t.Run("cannot know of an earlier life", func(t *testing.T) {
 		g, _ := newGate(t, 1)
-		state, _ := g.Void("a", "L0", g.Token(), false)
+		state, _ := g.Void(question("L0", g.Token()))
+		assert.Equal(t, state, gater.Unknowable)
+	})
+	t.Run("refuses to say not run of an accepted id", func(t *testing.T) {
+		g, _ := newGate(t, 2)
+		_, err := g.Accept(request(g, "a"))
+		assert.NilError(t, err)
+		_, err = g.Accept(request(g, "a"))
+		assertKind(t, err, cowslipbend.KindUnknown)
+	})
+	t.Run("remembers a non-idempotent request after its token is refused", func(t *testing.T) {
+		g, clock := newGate(t, 1)
+		q := question(life, g.Token())
+		clock.Advance(gater.Defaults().Retention + 1)
+		state, _ := g.Void(q)
+		assert.Equal(t, state, gater.Never)
+		q.Once = false
+		q.ID = "b"
+		state, _ = g.Void(q)
+		assert.Equal(t, state, gater.Unknowable)
+		q.Once = true
+		clock.Advance(gater.Defaults().Keep)
+		state, _ = g.Void(q)
 		assert.Equal(t, state, gater.Unknowable)
 	})
 	t.Run("returns the kept answer of a non-idempotent request", func(t *testing.T) {
@@ -78,7 +124,7 @@
 		ticket, err := g.Accept(r)
 		assert.NilError(t, err)
 		ticket.Finish(gater.Answer{Status: 200, Body: []byte("whole")}, true, false)
-		state, answer := g.Void("a", life, r.Token, false)
+		state, answer := g.Void(question(life, r.Token))
 		assert.Equal(t, state, gater.Done)
 		assert.Equal(t, string(answer.Body), "whole")
 	})
--- a/gater/ticket.go
+++ b/gater/ticket.go
@@ -1,6 +1,10 @@
 package gater
 
-import "cowslipbend.dev"
+import (
+	"time"
+
+	"cowslipbend.dev"
+)
 
 // Ticket is the permission to run one request. Exactly one of its ending
 // methods is called, once.
@@ -9,7 +13,8 @@
 	id    cowslipbend.RequestID
 	rec   *record
 	ep    *endpoint
-	began cowslipbend.Time
+	watch bool
+	began time.Time // A measurement in microseconds; no decision hangs on it.
 	// URL is the base URL of the endpoint.
 	URL string
 }
@@ -28,10 +33,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	t.ep.measure(now.Sub(t.began), failed)
+	t.measure(failed)
 	t.rec.state = Lost
 	keep := g.opts.Retention
-	size := cowslipbend.Bytes(len(a.Body))
+	size := a.size()
 	if t.rec.once && whole && size <= g.opts.Answer && g.kept+size <= g.opts.Answers {
 		t.rec.state = Done
 		t.rec.answer = a
@@ -50,17 +55,24 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	t.ep.measure(now.Sub(t.began), true)
+	t.measure(true)
 	t.rec.state = Never
 	t.end(now, g.opts.Retention)
 }
 
+// measure leaves out watches, which say nothing about the time of an answer.
+func (t *Ticket) measure(failed bool) {
+	if !t.watch {
+		t.ep.measure(time.Since(t.began).Microseconds(), failed)
+	}
+}
+
 // end frees the slot and sets when the record may be dropped.
 func (t *Ticket) end(now cowslipbend.Time, keep cowslipbend.Span) {
 	g := t.gate
 	t.rec.cancel = nil
 	close(t.rec.done)
-	t.ep.inflight--
+	t.ep.free(t.watch)
 	g.active--
 	g.retire(t.id, t.rec, now.Add(keep))
 	if g.active == 0 && g.idle != nil {
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -71,8 +71,9 @@
 	}
 }
 
-// Pooled returns a client that keeps HTTP/2 connections open and pings them.
-func Pooled(secret string) *http.Client {
+// transport returns a transport that keeps HTTP/2 connections open and pings
+// them.
+func transport() *http.Transport {
 	tr := &http.Transport{
 		DialContext:        dial,
 		DisableCompression: true,
@@ -81,7 +82,12 @@
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingIdle, PingTimeout: pingTimeout},
 	}
 	tr.Protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: secretTripper{tr, secret}, CheckRedirect: noRedirect}
+	return tr
+}
+
+// Pooled returns a client that keeps HTTP/2 connections open and pings them.
+func Pooled(secret string) *http.Client {
+	return &http.Client{Transport: secretTripper{transport(), secret}, CheckRedirect: noRedirect}
 }
 
 // Fresh returns a client that opens a connection for each call, for calls
--- a/internal/starter/starter.go
+++ b/internal/starter/starter.go
@@ -37,6 +37,11 @@
 	return &cli.StringFlag{Name: name, Value: value, Usage: usage, Sources: Env(name)}
 }
 
+// Int returns a flag for a count.
+func Int(name string, value int, usage string) *cli.IntFlag {
+	return &cli.IntFlag{Name: name, Value: value, Usage: usage, Sources: Env(name)}
+}
+
 // Span returns a flag for a length of time with its environment variable.
 func Span(name string, value cowslipbend.Span, usage string) *cli.DurationFlag {
 	return &cli.DurationFlag{Name: name, Value: value.Duration(), Usage: usage, Sources: Env(name)}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,10 +1,12 @@
 // Package limiter admits requests by the declared limits of teams and
 // services. Each entry has a share of every limit, so that no call between
-// entries is needed for a request.
+// entries is needed for a request: with their regular contact the entries tell
+// each other what their callers want, and each takes its part of the whole.
 package limiter
 
 import (
 	"sync"
+	"time"
 
 	"golang.org/x/time/rate"
 
@@ -14,62 +16,107 @@
 // Limiter holds one token bucket for each limit. It is safe for concurrent
 // use.
 type Limiter struct {
+	clock cowslipbend.Clock
+
 	mu      sync.Mutex
+	ticked  cowslipbend.Time
 	entries int
-	limits  []cowslipbend.Limit
-	buckets []*rate.Limiter
+	buckets []*bucket
+}
+
+// bucket is one limit with this entry's share of it.
+type bucket struct {
+	limit    cowslipbend.Limit
+	tokens   *rate.Limiter
+	admitted int64 // since the last tick
+	wanted   int64
+	demand   demand
+	last     Count
 }
 
 // New returns a limiter without limits.
-func New() *Limiter { return &Limiter{entries: 1} }
+func New(clock cowslipbend.Clock) *Limiter {
+	return &Limiter{clock: clock, ticked: clock.Now(), entries: 1}
+}
 
-// Declare puts the limits of a set in force.
+// Declare puts the limits of a set in force. A limit that stays as it was
+// keeps its tokens.
 func (l *Limiter) Declare(limits []cowslipbend.Limit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limits = limits
-	l.rebuild()
+	old := map[cowslipbend.Limit]*bucket{}
+	for _, b := range l.buckets {
+		old[b.limit] = b
+	}
+	l.buckets = make([]*bucket, 0, len(limits))
+	for _, m := range limits {
+		b, kept := old[m]
+		if !kept {
+			b = &bucket{limit: m, tokens: rate.NewLimiter(0, 0), demand: demand{peers: map[cowslipbend.EntryID]heard{}}}
+			b.share(1 / float64(l.entries))
+			b.fill(l.now())
+		}
+		l.buckets = append(l.buckets, b)
+	}
 }
 
-// Share sets the count of live entries that share the limits.
-func (l *Limiter) Share(entries int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if entries = max(entries, 1); entries != l.entries {
-		l.entries = entries
-		l.rebuild()
+// now is the clock's time as package rate wants it.
+func (l *Limiter) now() time.Time { return time.UnixMilli(int64(l.clock.Now())) }
+
+// share sets the part of the limit that this entry admits.
+func (b *bucket) share(part float64) {
+	burst := b.limit.Burst
+	if burst == 0 {
+		burst = b.limit.Rate
 	}
+	b.tokens.SetLimit(rate.Limit(b.limit.Rate * part))
+	b.tokens.SetBurst(max(int(burst*part), 1))
 }
 
-func (l *Limiter) rebuild() {
-	l.buckets = make([]*rate.Limiter, len(l.limits))
-	for i, m := range l.limits {
-		burst := m.Burst
-		if burst == 0 {
-			burst = m.Rate
-		}
-		n := float64(l.entries)
-		l.buckets[i] = rate.NewLimiter(rate.Limit(m.Rate/n), max(int(burst/n), 1))
-	}
+// fill gives a new bucket its whole burst.
+func (b *bucket) fill(now time.Time) {
+	b.tokens = rate.NewLimiter(b.tokens.Limit(), b.tokens.Burst())
+	b.tokens.AllowN(now, 0)
 }
 
-// Admit takes a token of every limit that covers the request, or returns
-// KindLimited with the time after which to try again.
+// Admit takes a token of every limit that covers the request, or none and
+// returns KindLimited with the time after which to try again.
 func (l *Limiter) Admit(team cowslipbend.TeamID, service cowslipbend.ServiceID) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for i, m := range l.limits {
-		if !covers(m, team, service) || l.buckets[i].Allow() {
+	now := l.now()
+	var refused *bucket
+	for _, b := range l.buckets {
+		if !covers(b.limit, team, service) {
 			continue
 		}
-		return &cowslipbend.Error{
-			Kind: cowslipbend.KindLimited, What: "limit " + m.Name + " is used up",
-			Remedy: "send less, or raise the limit's rate", After: cowslipbend.Second,
+		b.wanted++
+		if refused == nil && b.tokens.TokensAt(now) < 1 {
+			refused = b
+		}
+	}
+	if refused != nil {
+		return refused.refusal(now)
+	}
+	for _, b := range l.buckets {
+		if covers(b.limit, team, service) {
+			b.tokens.AllowN(now, 1)
+			b.admitted++
 		}
 	}
 	return nil
 }
 
+// refusal says when the next token comes.
+func (b *bucket) refusal(now time.Time) error {
+	missing := 1 - b.tokens.TokensAt(now)
+	wait := cowslipbend.Span(missing / float64(b.tokens.Limit()) * float64(cowslipbend.Second))
+	return &cowslipbend.Error{
+		Kind: cowslipbend.KindLimited, What: "limit " + b.limit.Name + " is used up",
+		Remedy: "send less, or raise the limit's rate", After: max(wait, cowslipbend.Millisecond),
+	}
+}
+
 func covers(m cowslipbend.Limit, team cowslipbend.TeamID, service cowslipbend.ServiceID) bool {
 	return (m.Team == "" || m.Team == team) && (m.Service == "" || m.Service == service)
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -6,15 +6,15 @@
 // request Cowslip-Once: 1 and Cowslip-Id. Each answer has the header
 // Cowslip-Outcome: ran, notrun or unknown; the body of the last two is an
 // Error in JSON.
+//
+// A request with Cowslip-Watch: 1 may stay open without a time limit. Its
+// answer ends with the trailer Cowslip-End: whole, or leaving if a process on
+// the way shuts down and the caller should watch again.
 package receiver
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -29,19 +29,12 @@
 // Prefix is the path of the callers' protocol.
 const Prefix = "/call/"
 
-// Bounds of a request.
-const (
-	replayable  = 256 << 10 // bytes; a larger body is sent once
-	copyBuffer  = 16 << 10  // bytes
-	maxDeadline = 24 * cowslipbend.Hour
-)
-
 // Config tells the set in force.
 type Config interface {
 	Set() (cowslipbend.Revision, *cowslipbend.Set)
 }
 
-// Count is told the outcome of each request.
+// Count is told the outcome of each request, but for watches that ran.
 type Count func(service cowslipbend.ServiceID, outcome cowslipbend.Outcome, kind cowslipbend.Kind, took time.Duration)
 
 // Receiver serves callers.
@@ -51,25 +44,38 @@
 	config Config
 	count  Count
 	log    hclog.Logger
+	// watches ends when watches must.
+	watches context.Context
+	end     context.CancelFunc
 }
 
 // New returns a receiver.
 func New(r *router.Router, l *limiter.Limiter, c Config, count Count, log hclog.Logger) *Receiver {
-	return &Receiver{router: r, limits: l, config: c, count: count, log: log}
+	rec := &Receiver{router: r, limits: l, config: c, count: count, log: log}
+	rec.watches, rec.end = context.WithCancel(context.Background())
+	return rec
 }
 
+// EndWatches ends all watches, and tells their callers that the process is
+// leaving.
+func (r *Receiver) EndWatches() { r.end() }
+
 // Register adds the route to the echo server.
 func (r *Receiver) Register(e *echo.Echo) { e.Any(Prefix+"*", r.serve) }
 
 func (r *Receiver) serve(c echo.Context) error {
 	began := time.Now()
-	service, err := r.handle(c)
+	req, err := r.handle(c)
 	outcome := cowslipbend.Ran
 	if err != nil {
 		outcome = router.OutcomeOf(err)
+	}
+	if err != nil || !req.Watch {
+		r.count(req.Service, outcome, cowslipbend.KindOf(err), time.Since(began))
+	}
+	if err != nil {
 		r.fail(c.Response(), outcome, err)
 	}
-	r.count(service, outcome, cowslipbend.KindOf(err), time.Since(began))
 	return nil
 }
 
@@ -83,157 +89,87 @@
 	server.WriteError(w, cowslipbend.AsError(err))
 }
 
-func (r *Receiver) handle(c echo.Context) (cowslipbend.ServiceID, error) {
+// handle answers a request, or returns why not. The service of the request is
+// empty unless it is declared.
+func (r *Receiver) handle(c echo.Context) (*router.Request, error) {
 	req, err := parse(c.Request())
 	if err != nil {
-		return "", refuse(err)
+		return &router.Request{}, refuse(err)
 	}
-	declared := r.declared(req.Service)
-	if declared == nil {
-		return "", refuse(cowslipbend.Fail(cowslipbend.KindMissing, "no service is named "+string(req.Service), "declare and publish it"))
+	if err := r.complete(req); err != nil {
+		return &router.Request{}, refuse(err)
 	}
-	if err := r.limits.Admit(req.Team, req.Service); err != nil {
-		return req.Service, refuse(err)
+	refused := r.limits.Admit(req.Team, req.Service)
+	if refused != nil && !req.Once {
+		return req, refuse(refused)
 	}
-	if req.Timeout == 0 {
-		req.Timeout = declared.Timeout
+	if err := buffer(c.Response(), c.Request(), req); err != nil {
+		return req, refuse(err)
 	}
-	if err := buffer(c.Request(), req); err != nil {
-		return req.Service, refuse(err)
-	}
-	return req.Service, r.run(c, req)
+	return req, r.run(c, req, refused)
 }
 
-func (r *Receiver) declared(id cowslipbend.ServiceID) *cowslipbend.Service {
+// complete adds what the set in force declares.
+func (r *Receiver) complete(req *router.Request) error {
 	_, set := r.config.Set()
+	if len(set.Teams) > 0 && !declares(set, req.Team) {
+		return cowslipbend.Fail(cowslipbend.KindMissing, "no team is named "+string(req.Team), "declare and publish it")
+	}
 	for i := range set.Services {
-		if set.Services[i].Name == id {
-			return &set.Services[i]
+		s := &set.Services[i]
+		if s.Name != req.Service {
+			continue
 		}
-	}
-	return nil
-}
-
-// refuse marks an error as certain not to have run.
-func refuse(err error) error {
-	return &router.Failure{Outcome: cowslipbend.NotRun, Err: cowslipbend.AsError(err)}
-}
-
-// parse reads path and headers.
-func parse(h *http.Request) (*router.Request, error) {
-	service, path, _ := strings.Cut(strings.TrimPrefix(h.URL.EscapedPath(), Prefix), "/")
-	req := &router.Request{
-		Service: cowslipbend.ServiceID(service), Team: cowslipbend.TeamID(h.Header.Get(cowslipbend.HeaderTeam)),
-		ID: h.Header.Get(cowslipbend.HeaderID), Once: h.Header.Get(cowslipbend.HeaderOnce) == "1",
-		Method: h.Method, Path: "/" + path, Header: passed(h.Header), Body: h.Body,
-	}
-	if h.URL.RawQuery != "" {
-		req.Path += "?" + h.URL.RawQuery
-	}
-	var l cowslipbend.Errors
-	l.Add(cowslipbend.CheckName("service", service))
-	l.Add(cowslipbend.CheckName(cowslipbend.HeaderTeam, string(req.Team)))
-	if req.Once {
-		l.Add(cowslipbend.CheckName(cowslipbend.HeaderID, req.ID))
-	}
-	l.Add(deadline(h.Header.Get(cowslipbend.HeaderDeadline), req))
-	return req, l.Err()
-}
-
-func deadline(text string, req *router.Request) error {
-	if text == "" {
+		if req.Timeout == 0 && !req.Watch {
+			req.Timeout = s.Timeout
+		}
+		req.Objective = s.Objective.P99
+		req.Queue = s.Queue
 		return nil
 	}
-	ms, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || ms <= 0 || cowslipbend.Span(ms) > maxDeadline {
-		return cowslipbend.Invalid(cowslipbend.HeaderDeadline, text+" is no time left", "give 1 to 86400000 milliseconds")
-	}
-	req.Timeout = cowslipbend.Span(ms)
-	return nil
+	return cowslipbend.Fail(cowslipbend.KindMissing, "no service is named "+string(req.Service), "declare and publish it")
 }
 
-// passed returns the headers that go on to the endpoint.
-func passed(h http.Header) http.Header {
-	out := make(http.Header, len(h))
-	for name, values := range h {
-		if name == "Connection" || name == "Keep-Alive" || name == "Transfer-Encoding" || name == "Upgrade" {
-			continue
+func declares(set *cowslipbend.Set, team cowslipbend.TeamID) bool {
+	for i := range set.Teams {
+		if set.Teams[i].Name == team {
+			return true
 		}
-		if strings.HasPrefix(name, "Cowslip-") && name != cowslipbend.HeaderID && name != cowslipbend.HeaderTeam {
-			continue
-		}
-		out[name] = values
 	}
-	return out
+	return false
 }
 
-// buffer reads a body that is small enough to be replayed. Non-idempotent
-// requests must be, as their claim covers the body.
-func buffer(h *http.Request, req *router.Request) error {
-	data, err := io.ReadAll(io.LimitReader(h.Body, replayable+1))
-	if err != nil {
-		return cowslipbend.Failf(cowslipbend.KindInvalid, err, "send the whole body", "request body broke off")
-	}
-	if len(data) <= replayable {
-		req.Whole, req.Replay = data, true
-		return nil
-	}
-	if req.Once {
-		return cowslipbend.Invalid("body", "is larger than 256 KB", "put it in an object and name that")
-	}
-	req.Body = io.MultiReader(strings.NewReader(string(data)), h.Body)
-	return nil
+// refuse marks an error as certain not to have run.
+func refuse(err error) error {
+	return &router.Failure{Outcome: cowslipbend.NotRun, Err: cowslipbend.AsError(err)}
 }
 
-func (r *Receiver) run(c echo.Context, req *router.Request) error {
+// run sends the request on. A non-idempotent one that the limits refuse may
+// be a repeat, and then its first sending decides what the caller is told.
+func (r *Receiver) run(c echo.Context, req *router.Request, refused error) error {
 	ctx := c.Request().Context()
 	if req.Timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, req.Timeout.Duration())
 		defer cancel()
 	}
-	answer, err := r.router.Do(ctx, req)
+	if req.Watch {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		stop := context.AfterFunc(r.watches, cancel)
+		defer stop()
+	}
+	var answer *router.Answer
+	var err error
+	if refused != nil {
+		answer, err = r.router.Refuse(ctx, req, refused)
+	} else {
+		answer, err = r.router.Do(ctx, req)
+	}
 	if err != nil {
 		return err
 	}
 	defer answer.Body.Close()
-	return send(c.Response(), answer)
-}
-
-// send streams an answer to the caller.
-func send(w *echo.Response, a *router.Answer) error {
-	for name, values := range a.Header {
-		if name != cowslipbend.HeaderState && name != cowslipbend.HeaderToken {
-			w.Header()[name] = values
-		}
-	}
-	w.Header().Set(cowslipbend.HeaderOutcome, string(cowslipbend.Ran))
-	if a.Length >= 0 {
-		w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
-	}
-	w.WriteHeader(a.Status)
-	return stream(w, a)
-}
-
-func stream(w *echo.Response, a *router.Answer) error {
-	buf := make([]byte, copyBuffer)
-	sent := int64(0)
-	for {
-		n, err := a.Body.Read(buf)
-		sent += int64(n)
-		if n > 0 {
-			if _, werr := w.Write(buf[:n]); werr != nil {
-				return cowslipbend.Failf(cowslipbend.KindUnknown, werr, "ask again", "caller went away")
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return cowslipbend.Failf(cowslipbend.KindUnknown, err, "repeat it only if it is idempotent", "answer broke off")
-		}
-		if sent != a.Length {
-			w.Flush()
-		}
-	}
+	return r.send(c.Response(), req, answer)
 }
--- a/routing.go
+++ b/routing.go
@@ -15,10 +15,13 @@
 	Errors int
 	// Near is set for the entry's own failure domain.
 	Near bool
-	// Tried is set if this request has already failed there.
+	// Tried is set if this request has already failed there, or if the agent
+	// is leaving.
 	Tried bool
-	// Ejected is set while only probes are sent there.
+	// Ejected is set while nothing is sent there, Probe when one request
+	// should be, to see whether it has recovered.
 	Ejected bool
+	Probe   bool
 }
 
 // Routing chooses among candidates.
--- /dev/null
+++ b/tracker/health.go
@@ -0,0 +1,141 @@
+package tracker
+
+import (
+	"sync"
+
+	"cowslipbend.dev"
+)
+
+// Parameters of the health of a target.
+const (
+	smoothing     = 16      // divisor of the moving averages
+	perMille      = 1000    // the whole in counts of thousandths
+	failureCost   = 100_000 // microseconds that a failure counts at least
+	halfLife      = 5 * cowslipbend.Second
+	ejectErrors   = 500 // per mille of failures
+	ejectSamples  = 5   // measurements before the first ejection
+	ejectOutlier  = 2   // times the mean share of failures of the service
+	firstEjection = cowslipbend.Second
+	lastEjection  = 30 * cowslipbend.Second
+	maxHalvings   = 20
+)
+
+// health estimates the time and the failures of a target's answers. Failures
+// count as slow answers, so that one that fails fast does not look quick. The
+// estimates decay with time, so that a target that was given up is tried
+// again.
+type health struct {
+	mu      sync.Mutex
+	at      cowslipbend.Time // of the last measurement
+	latency int64            // microseconds
+	errors  int64            // per mille
+	samples int
+	out     bool
+	until   cowslipbend.Time // when the next probe is due, while out
+	span    cowslipbend.Span // the length of the present ejection
+}
+
+// measure takes one answer and reports whether the target looks bad enough to
+// be ejected. A good answer of a probe ends an ejection, a bad one doubles
+// its length.
+func (h *health) measure(now cowslipbend.Time, micros int64, failed bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.decay(now)
+	h.at = now
+	failures := int64(0)
+	if failed {
+		failures = perMille
+		micros = max(micros, failureCost)
+	}
+	if h.samples == 0 {
+		h.latency = micros
+	}
+	h.samples++
+	h.latency += (micros - h.latency) / smoothing
+	h.errors += (failures - h.errors) / smoothing
+	if h.out {
+		h.probed(now, micros, failed)
+		return false
+	}
+	return failed && h.samples >= ejectSamples && h.errors >= ejectErrors
+}
+
+// probed takes the answer to a probe.
+func (h *health) probed(now cowslipbend.Time, micros int64, failed bool) {
+	if failed {
+		h.span = min(2*h.span, lastEjection)
+		h.until = now.Add(h.span)
+		return
+	}
+	h.out = false
+	h.samples = 0
+	h.errors = 0
+	h.latency = micros
+}
+
+// decay halves the failures once per half-life without measurements, and
+// brings the latency down likewise.
+func (h *health) decay(now cowslipbend.Time) {
+	n := int64(now.Sub(h.at) / halfLife)
+	if n <= 0 {
+		return
+	}
+	shift := min(n, maxHalvings)
+	h.errors >>= shift
+	h.latency >>= shift
+}
+
+// read returns the estimates at the moment.
+func (h *health) read(now cowslipbend.Time) (latency int64, errors int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	shift := min(max(int64(now.Sub(h.at)/halfLife), 0), maxHalvings)
+	return h.latency >> shift, int(h.errors >> shift)
+}
+
+// eject starts an ejection.
+func (h *health) eject(now cowslipbend.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.out = true
+	h.span = firstEjection
+	h.until = now.Add(h.span)
+}
+
+// probe notes that a request goes to the target. The next probe is due once
+// the span has passed again.
+func (h *health) probe(now cowslipbend.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.out && now >= h.until {
+		h.until = now.Add(h.span)
+	}
+}
+
+// ejected reports whether the target is out, and whether a probe is due.
+func (h *health) ejected(now cowslipbend.Time) (out, due bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.out && now < h.until, h.out && now >= h.until
+}
+
+// eject takes a target out unless half of the service's targets are out
+// already, or all of them fail alike.
+func (t *Tracker) eject(bad *Target) {
+	list := t.Targets(bad.Service)
+	now := t.clock.Now()
+	out, sum := 0, 0
+	for _, other := range list {
+		_, errors := other.health.read(now)
+		sum += errors
+		if gone, due := other.health.ejected(now); gone || due {
+			out++
+		}
+	}
+	_, errors := bad.health.read(now)
+	if 2*(out+1) > len(list) || errors*len(list) < ejectOutlier*sum {
+		return
+	}
+	bad.health.eject(now)
+}
--- a/tracker/target.go
+++ b/tracker/target.go
@@ -10,6 +10,8 @@
 type State struct {
 	Slots    int64
 	Inflight int64
+	Conns    int64
+	Open     int64
 	Leaving  bool
 }
 
@@ -20,52 +22,84 @@
 	Service cowslipbend.ServiceID
 	Near    bool
 
+	tracker *Tracker
 	slots   atomic.Int64
-	told    atomic.Int64
-	own     atomic.Int64
-	latency atomic.Int64 // microseconds, smoothed
-	errors  atomic.Int64 // per mille, smoothed
+	conns   atomic.Int64
+	plain   atomic.Int64 // sent from here and not ended, without watches
+	watches atomic.Int64 // watches sent from here and not ended
+	others  atomic.Int64 // slots taken by other entries when the agent last told
+	open    atomic.Int64 // connections taken by others then
 	leaving atomic.Bool
-	ejected atomic.Bool
+	health  health
 }
 
-// smoothing is the divisor of the moving averages.
-const smoothing = 16
-
-// perMille is the whole in counts of thousandths.
-const perMille = 1000
-
-// Observe takes a state that the agent told.
+// Observe takes a state that the agent told. What it counts beyond the
+// requests of this entry belongs to others.
 func (t *Target) Observe(s State) {
+	plain := t.plain.Load()
 	t.slots.Store(s.Slots)
-	t.told.Store(s.Inflight)
+	t.conns.Store(s.Conns)
+	t.others.Store(max(s.Inflight-plain, 0))
+	t.open.Store(max(s.Open-plain-t.watches.Load(), 0))
 	t.leaving.Store(s.Leaving)
 }
 
-// Begin counts a request that is sent there.
-func (t *Target) Begin() { t.own.Add(1) }
+// Leaving reports whether the agent told that it takes no new requests.
+func (t *Target) Leaving() bool { return t.leaving.Load() }
 
-// End counts the request's end, with its time in microseconds.
-func (t *Target) End(micros int64, failed bool) {
-	t.own.Add(-1)
-	sample := int64(0)
-	if failed {
-		sample = perMille
+// Begin counts a request that is sent there. If the target is ejected and a
+// probe is due, the request is that probe.
+func (t *Target) Begin(watch bool) {
+	if watch {
+		t.watches.Add(1)
+		return
 	}
-	smooth(&t.errors, sample)
-	smooth(&t.latency, micros)
+	t.plain.Add(1)
+	t.health.probe(t.tracker.clock.Now())
 }
 
-// smooth moves an average towards the sample. Races lose a sample at most.
-func smooth(avg *atomic.Int64, sample int64) {
-	old := avg.Load()
-	avg.Store(old + (sample-old)/smoothing)
+// Result is how a request ended.
+type Result struct {
+	Watch  bool
+	Micros int64 // microseconds to the answer
+	Failed bool
+	// Void leaves the measurement out, as for a caller that went away.
+	Void bool
+}
+
+// End counts the end of a request that Begin has counted.
+func (t *Target) End(r Result) {
+	if r.Watch {
+		t.watches.Add(-1)
+		return
+	}
+	t.plain.Add(-1)
+	if r.Void {
+		return
+	}
+	if t.health.measure(t.tracker.clock.Now(), r.Micros, r.Failed) {
+		t.tracker.eject(t)
+	}
 }
 
-// Candidate returns what a routing policy sees.
-func (t *Target) Candidate() cowslipbend.Candidate {
-	return cowslipbend.Candidate{
-		Slots: int(t.slots.Load()), Inflight: int(max(t.own.Load(), t.told.Load())),
-		Latency: t.latency.Load(), Errors: int(t.errors.Load()), Near: t.Near, Ejected: t.ejected.Load(),
+// Candidate returns what a routing policy sees. For a watch the connections
+// stand in for the slots.
+func (t *Target) Candidate(watch bool) cowslipbend.Candidate {
+	now := t.tracker.clock.Now()
+	c := cowslipbend.Candidate{
+		Slots: int(t.slots.Load()), Inflight: int(t.plain.Load() + t.others.Load()),
+		Near: t.Near, Tried: t.leaving.Load(),
+	}
+	if watch {
+		c.Slots = int(t.conns.Load())
+		c.Inflight = int(t.plain.Load() + t.watches.Load() + t.open.Load())
 	}
+	c.Latency, c.Errors = t.health.read(now)
+	c.Ejected, c.Probe = t.health.ejected(now)
+	return c
+}
+
+// Free reports whether a plain request would find a slot, as far as is known.
+func (t *Target) Free() bool {
+	return !t.leaving.Load() && t.plain.Load()+t.others.Load() < t.slots.Load()
 }
