router: test the request path over real TCP, with connections that go silent

Cause: settling, joining, watches and leaving had no test; a silent connection to the only agent of a service made the entry refuse, as the agent counted as tried. Change: an agent that says it never saw the request may be tried again, on a new connection; a caller is told why its attempt was refused rather than that no other agent was left. A small TCP relay can make connections swallow bytes.

--- a/agent/runner/calls.go
+++ b/agent/runner/calls.go
@@ -4,47 +4,17 @@
 	"context"
 
 	"cowslipbend.dev"
-	"cowslipbend.dev/gater"
+	"cowslipbend.dev/forwarder"
 	"cowslipbend.dev/internal/control"
 )
 
 // calls serves control.Agent.
 type calls struct{ agent *Agent }
 
-// maxWait bounds how long a question waits for the end of a request.
-const maxWait = 10 * cowslipbend.Second
-
-// Void settles what became of a request. While it runs, the question waits
-// for its end as long as the asker wants.
+// Void settles what became of a request.
 func (c *calls) Void(ctx context.Context, r *control.VoidRequest) (*control.VoidReply, error) {
-	if err := cowslipbend.CheckName("request", r.GetRequest()); err != nil {
-		return nil, control.ToTwirp(err)
-	}
-	gate := c.agent.gate
-	q := gater.Question{
-		ID: cowslipbend.RequestID(r.GetRequest()), Life: cowslipbend.Incarnation(r.GetLife()),
-		Token: cowslipbend.Time(r.GetToken()), Once: r.GetOnce(), Cancel: r.GetCancel(),
-	}
-	state, answer := gate.Void(q)
-	if wait := min(cowslipbend.Span(r.GetWait()), maxWait); state == gater.Pending && wait > 0 {
-		select {
-		case <-gate.Wait(q.ID):
-		case <-c.agent.clock.After(wait):
-		case <-ctx.Done():
-		}
-		state, answer = gate.Void(q)
-	}
-	reply := &control.VoidReply{State: string(state)}
-	if state == gater.Done {
-		reply.Status = int32(answer.Status)
-		reply.Body = answer.Body
-		for name, values := range answer.Header {
-			for _, v := range values {
-				reply.Header = append(reply.Header, &control.Header{Name: name, Value: v})
-			}
-		}
-	}
-	return reply, nil
+	reply, err := forwarder.Void(ctx, c.agent.gate, c.agent.clock, r)
+	return reply, control.ToTwirp(err)
 }
 
 // Order starts, evicts and stops tasks.
--- /dev/null
+++ b/forwarder/void.go
@@ -0,0 +1,44 @@
+package forwarder
+
+import (
+	"context"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/gater"
+	"cowslipbend.dev/internal/control"
+)
+
+// maxWait bounds how long a question waits for the end of a request.
+const maxWait = 10 * cowslipbend.Second
+
+// Void answers an entry's question what became of a request. While the
+// request runs, the question waits for its end as long as the asker wants.
+func Void(ctx context.Context, gate *gater.Gate, clock cowslipbend.Clock, r *control.VoidRequest) (*control.VoidReply, error) {
+	if err := cowslipbend.CheckName("request", r.GetRequest()); err != nil {
+		return nil, err
+	}
+	q := gater.Question{
+		ID: cowslipbend.RequestID(r.GetRequest()), Life: cowslipbend.Incarnation(r.GetLife()),
+		Token: cowslipbend.Time(r.GetToken()), Once: r.GetOnce(), Cancel: r.GetCancel(),
+	}
+	state, answer := gate.Void(q)
+	if wait := min(cowslipbend.Span(r.GetWait()), maxWait); state == gater.Pending && wait > 0 {
+		select {
+		case <-gate.Wait(q.ID):
+		case <-clock.After(wait):
+		case <-ctx.Done():
+		}
+		state, answer = gate.Void(q)
+	}
+	reply := &control.VoidReply{State: string(state)}
+	if state == gater.Done {
+		reply.Status = int32(answer.Status)
+		reply.Body = answer.Body
+		for name, values := range answer.Header {
+			for _, v := range values {
+				reply.Header = append(reply.Header, &control.Header{Name: name, Value: v})
+			}
+		}
+	}
+	return reply, nil
+}
--- a/router/answer.go
+++ b/router/answer.go
@@ -19,6 +19,8 @@
 type Failure struct {
 	Outcome cowslipbend.Outcome
 	Err     *cowslipbend.Error
+	// again is set if the same target may do on a new connection.
+	again bool
 }
 
 // Error returns the cause's text.
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -192,9 +192,9 @@
 	}
 	switch reply.GetState() {
 	case never:
-		return nil, notRun(&cowslipbend.Error{
+		return nil, &Failure{Outcome: cowslipbend.NotRun, again: true, Err: &cowslipbend.Error{
 			Kind: cowslipbend.KindDown, What: "request did not reach its endpoint", Cause: cause, Remedy: "try again", After: cowslipbend.Second,
-		})
+		}}
 	case done:
 		return kept(reply), nil
 	}
--- a/router/once.go
+++ b/router/once.go
@@ -215,6 +215,9 @@
 	next, placeErr := Claim{}, o.refusal
 	if o.sent < o.router.opts.Attempts && ctx.Err() == nil {
 		next, placeErr = o.claim(ctx)
+		if placeErr != nil {
+			placeErr = o.refusal
+		}
 	}
 	// What is settled must be told, also after the caller's deadline.
 	ctx = context.WithoutCancel(ctx)
--- a/router/router.go
+++ b/router/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -130,13 +131,18 @@
 
 // tries are the failed attempts of one request.
 type tries struct {
-	targets []*tracker.Target
-	ran     error // of an attempt that may have run
+	targets []*tracker.Target // that will not do for another attempt
+	ran     error             // of an attempt that may have run
+	last    error
 }
 
 func (t *tries) add(target *tracker.Target, err error) {
-	if cowslipbend.KindOf(err) != cowslipbend.KindBusy {
-		t.targets = append(t.targets, target) // A busy one may soon have room.
+	t.last = err
+	f, known := errors.AsType[*Failure](err)
+	// A busy target may soon have room, one behind a silent connection is
+	// reached by a new one.
+	if !known || (!f.again && f.Err.Kind != cowslipbend.KindBusy) {
+		t.targets = append(t.targets, target)
 	}
 	if OutcomeOf(err) != cowslipbend.NotRun {
 		t.ran = err
@@ -152,11 +158,16 @@
 	return false
 }
 
-// sum returns what the caller is told after the last error: once an attempt
-// may have run, a later refusal does not make that certain.
+// sum returns what the caller is told when placing failed or no further
+// attempt is made. Once an attempt may have run, a later refusal does not make
+// that certain; and why an attempt was refused tells more than that no other
+// target was left.
 func (t *tries) sum(last error) error {
-	if t.ran != nil {
+	switch {
+	case t.ran != nil:
 		return t.ran
+	case t.last != nil:
+		return t.last
 	}
 	return last
 }
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,302 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/internal/keeper"
+)
+
+func TestRequest(t *testing.T) {
+	s := newSystem(t, 2, 2)
+	t.Run("gets its own whole answer", func(t *testing.T) {
+		assertRan(t, s.call(0, "", "one"), "one")
+	})
+	t.Run("gets its headers and body across", func(t *testing.T) {
+		s.hosts[0].on(showHeaders)
+		s.hosts[1].on(showHeaders)
+		r := s.call(0, "", "", "X-Own", "mine")
+		assert.Equal(t, r.body, "mine d=true secret=")
+		assert.Equal(t, r.header.Get(cowslipbend.HeaderState), "")
+		assert.Equal(t, r.header.Get("X-Back"), "yes")
+	})
+	t.Run("refuses what it cannot accept with a remedy", func(t *testing.T) {
+		assertOutcome(t, s.call(0, "", "a", cowslipbend.HeaderTeam, "no such"), cowslipbend.NotRun, cowslipbend.KindInvalid)
+		assertOutcome(t, s.call(0, "", "a", cowslipbend.HeaderTeam, "other"), cowslipbend.NotRun, cowslipbend.KindMissing)
+		assertOutcome(t, s.call(0, "", "a", cowslipbend.HeaderDeadline, "soon"), cowslipbend.NotRun, cowslipbend.KindInvalid)
+		assertOutcome(t, s.call(0, "", "a", cowslipbend.HeaderOnce, "yes"), cowslipbend.NotRun, cowslipbend.KindInvalid)
+		assertOutcome(t, s.call(0, "x", "a", cowslipbend.HeaderWatch, "1"), cowslipbend.NotRun, cowslipbend.KindInvalid)
+	})
+}
+
+func showHeaders(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Back", "yes")
+	deadline := r.Header.Get(cowslipbend.HeaderDeadline) != ""
+	_, _ = fmt.Fprintf(w, "%s d=%t secret=%s", r.Header.Get("X-Own"), deadline, r.Header.Get("Cowslip-Secret"))
+}
+
+func TestOnce(t *testing.T) {
+	t.Run("runs once for many repeats through two entries", func(t *testing.T) {
+		s := newSystem(t, 2, 3)
+		var g errgroup.Group
+		for i := range 20 {
+			g.Go(func() error {
+				r := s.call(i%2, "id", "body")
+				if r.outcome != cowslipbend.Ran || r.body != "answer to body" {
+					return fmt.Errorf("%+v", r)
+				}
+				return nil
+			})
+		}
+		assert.NilError(t, g.Wait())
+		assert.Equal(t, s.ran("id"), 1)
+	})
+	t.Run("refuses an id with another body", func(t *testing.T) {
+		s := newSystem(t, 1, 1)
+		assertRan(t, s.call(0, "id", "one"), "one")
+		assertOutcome(t, s.call(0, "id", "two"), cowslipbend.NotRun, cowslipbend.KindConflict)
+	})
+	t.Run("releases the claim of a refused request", func(t *testing.T) {
+		s := newSystem(t, 1, 1)
+		s.hosts[0].gate.Leave() // The entry does not know yet.
+		assertOutcome(t, s.call(0, "id", "one"), cowslipbend.NotRun, cowslipbend.KindLeaving)
+		rows, err := s.table.Scan(t.Context(), "claim/", "", 10)
+		assert.NilError(t, err)
+		assert.Equal(t, len(rows), 0)
+	})
+	t.Run("leaves the outcome open while the table is out", func(t *testing.T) {
+		table := &faultyTable{Table: &keeper.Table{}}
+		s := newSystemOn(t, table, 1, 1)
+		assertRan(t, s.call(0, "id", "one"), "one")
+		table.set(faults{commit: cowslipbend.KindDown, read: cowslipbend.KindDown})
+		r := s.call(0, "id", "one")
+		assertOutcome(t, r, cowslipbend.Uncertain, cowslipbend.KindDown)
+		assert.Equal(t, r.header.Get("Retry-After"), "1")
+		table.set(faults{})
+		assertRan(t, s.call(0, "id", "one"), "one")
+		assert.Equal(t, s.ran("id"), 1)
+	})
+	t.Run("runs once when the answers of the table are lost", func(t *testing.T) {
+		table := &faultyTable{Table: &keeper.Table{}}
+		s := newSystemOn(t, table, 1, 1)
+		table.set(faults{after: cowslipbend.KindUnknown})
+		assertRan(t, s.call(0, "id", "one"), "one")
+		assert.Equal(t, s.ran("id"), 1)
+	})
+	t.Run("joins a running request", func(t *testing.T) {
+		s := newSystem(t, 2, 1)
+		started, release := make(chan struct{}), make(chan struct{})
+		s.hosts[0].on(func(w http.ResponseWriter, r *http.Request) {
+			close(started)
+			<-release
+			echoBody(w, r)
+		})
+		var g errgroup.Group
+		var first, second reply
+		g.Go(func() error {
+			first = s.call(0, "id", "one")
+			return nil
+		})
+		<-started
+		g.Go(func() error {
+			second = s.call(1, "id", "one")
+			return nil
+		})
+		close(release)
+		assert.NilError(t, g.Wait())
+		assertRan(t, first, "one")
+		assertRan(t, second, "one")
+	})
+}
+
+// TestTakenOver plays an entry that pauses between its claim and its sending.
+func TestTakenOver(t *testing.T) {
+	paused := &pausingTable{Table: &keeper.Table{}, stop: make(chan struct{}), stopped: make(chan struct{}, 1)}
+	s := newSystemOn(t, paused, 2, 1)
+	var g errgroup.Group
+	var first reply
+	paused.arm()
+	g.Go(func() error {
+		first = s.call(0, "id", "one")
+		return nil
+	})
+	<-paused.stopped // The claim is in the table, the entry does not know yet.
+	assertRan(t, s.call(1, "id", "one"), "one")
+	close(paused.stop)
+	assert.NilError(t, g.Wait())
+	assertRan(t, first, "one")
+	assert.Equal(t, s.ran("id"), 1)
+}
+
+func TestBrokenAnswer(t *testing.T) {
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "short")
+		panic(http.ErrAbortHandler)
+	}
+	t.Run("of an idempotent request is fetched elsewhere", func(t *testing.T) {
+		s := newSystem(t, 1, 2)
+		s.hosts[0].on(cut)
+		for i := range 10 {
+			body := fmt.Sprintf("b%d", i)
+			assertRan(t, s.call(0, "", body), body)
+		}
+	})
+	t.Run("of a non-idempotent request is unknown and not repeated", func(t *testing.T) {
+		s := newSystem(t, 1, 1)
+		s.hosts[0].on(cut)
+		assertOutcome(t, s.call(0, "id", "one"), cowslipbend.Uncertain, cowslipbend.KindUnknown)
+		assert.Equal(t, s.ran("id"), 1)
+	})
+	t.Run("that is streamed is cut visibly", func(t *testing.T) {
+		s := newSystem(t, 1, 1)
+		s.hosts[0].on(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "part")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		assert.ErrorContains(t, s.call(0, "", "one").err, "EOF")
+	})
+}
+
+func TestSilentConnection(t *testing.T) {
+	t.Run("is left for a new one", func(t *testing.T) {
+		s := newSystem(t, 1, 1)
+		assertRan(t, s.call(0, "", "first"), "first")
+		s.hosts[0].relay.Silence()
+		before := s.hosts[0].relay.Count()
+		assertRan(t, s.call(0, "", "next"), "next")
+		assert.Assert(t, s.hosts[0].relay.Count() > before)
+	})
+	t.Run("loses no non-idempotent request on its way", func(t *testing.T) {
+		s := newSystem(t, 1, 2)
+		for i := range 8 {
+			assertRan(t, s.call(0, "", fmt.Sprint(i)), fmt.Sprint(i))
+		}
+		s.hosts[0].relay.Silence()
+		s.hosts[1].relay.Silence()
+		assertRan(t, s.call(0, "id", "one"), "one")
+		assert.Equal(t, s.ran("id"), 1)
+	})
+	t.Run("loses no answer on its way", func(t *testing.T) {
+		s := newSystem(t, 1, 1)
+		assertRan(t, s.call(0, "", "first"), "first")
+		s.hosts[0].on(func(w http.ResponseWriter, r *http.Request) {
+			s.hosts[0].relay.Silence()
+			echoBody(w, r)
+		})
+		assertRan(t, s.call(0, "id", "one"), "one")
+		assert.Equal(t, s.ran("id"), 1)
+	})
+}
+
+func TestWatch(t *testing.T) {
+	s := newSystem(t, 1, 1)
+	s.set.Services[0].Timeout = 1 // A watch is not bound by it.
+	tick := make(chan struct{})
+	s.hosts[0].on(func(w http.ResponseWriter, r *http.Request) {
+		for {
+			_, _ = io.WriteString(w, "tick ")
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case _, more := <-tick:
+				if !more {
+					return
+				}
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})
+	resp := s.open(0, "w", cowslipbend.HeaderWatch, "1")
+	defer resp.Body.Close()
+	assert.Equal(t, resp.Header.Get(cowslipbend.HeaderOutcome), string(cowslipbend.Ran))
+	readPart(t, resp.Body, "tick ")
+	tick <- struct{}{}
+	readPart(t, resp.Body, "tick ")
+	state := s.hosts[0].gate.State("s")
+	assert.Equal(t, state.Inflight, 0)
+	assert.Equal(t, state.Open, 1)
+	t.Run("ends cleanly when the agent leaves", func(t *testing.T) {
+		idle := s.hosts[0].gate.Leave()
+		s.hosts[0].forward.EndWatches()
+		<-idle
+		_, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Trailer.Get(cowslipbend.HeaderEnd), cowslipbend.EndLeaving)
+	})
+}
+
+func readPart(t *testing.T, from io.Reader, want string) {
+	t.Helper()
+	part := make([]byte, len(want))
+	_, err := io.ReadFull(from, part)
+	assert.NilError(t, err)
+	assert.Equal(t, string(part), want)
+}
+
+func TestLeaving(t *testing.T) {
+	s := newSystem(t, 1, 2)
+	started, release := make(chan struct{}), make(chan struct{})
+	s.hosts[0].on(func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-release
+		echoBody(w, r)
+	})
+	s.hosts[1].gate.Leave()
+	s.beat()
+	var g errgroup.Group
+	var got reply
+	g.Go(func() error {
+		got = s.call(0, "", "long")
+		return nil
+	})
+	<-started
+	idle := s.hosts[0].gate.Leave()
+	t.Run("refuses new work as not run", func(t *testing.T) {
+		assertOutcome(t, s.call(0, "", "new"), cowslipbend.NotRun, cowslipbend.KindLeaving)
+		s.beat()
+		assertOutcome(t, s.call(0, "", "new"), cowslipbend.NotRun, cowslipbend.KindBusy)
+		assert.Equal(t, s.ran("/new"), 0)
+	})
+	t.Run("cuts off nothing in flight", func(t *testing.T) {
+		close(release)
+		assert.NilError(t, g.Wait())
+		assertRan(t, got, "long")
+		<-idle
+	})
+}
+
+// TestCallerAway sends on behalf of a caller that went away.
+func TestCallerAway(t *testing.T) {
+	s := newSystem(t, 1, 1)
+	started, gone := make(chan struct{}), make(chan struct{})
+	s.hosts[0].on(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(gone)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.entries[0].server.URL()+"/call/s/x", nil)
+	assert.NilError(t, err)
+	req.Header.Set(cowslipbend.HeaderTeam, "t")
+	var g errgroup.Group
+	g.Go(func() error {
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return nil
+	})
+	<-started
+	cancel()
+	<-gone // The endpoint is told.
+	assert.NilError(t, g.Wait())
+}
