--- a/agent/runner/calls.go
+++ b/agent/runner/calls.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"cowslipbend.dev"
-	"cowslipbend.dev/gater"
+	"cowslipbend.dev/forwarder"
 	"cowslipbend.dev/internal/control"
 )
 
@@ -12,24 +12,9 @@
 type calls struct{ agent *Agent }
 
 // Void settles what became of a request.
-func (c *calls) Void(_ context.Context, r *control.VoidRequest) (*control.VoidReply, error) {
-	if err := cowslipbend.CheckName("request", r.GetRequest()); err != nil {
-		return nil, control.ToTwirp(err)
-	}
-	state, answer := c.agent.gate.Void(
-		cowslipbend.RequestID(r.GetRequest()), cowslipbend.Incarnation(r.GetLife()), cowslipbend.Time(r.GetToken()), r.GetCancel(),
-	)
-	reply := &control.VoidReply{State: string(state)}
-	if state == gater.Done {
-		reply.Status = int32(answer.Status)
-		reply.Body = answer.Body
-		for name, values := range answer.Header {
-			for _, v := range values {
-				reply.Header = append(reply.Header, &control.Header{Name: name, Value: v})
-			}
-		}
-	}
-	return reply, nil
+func (c *calls) Void(ctx context.Context, r *control.VoidRequest) (*control.VoidReply, error) {
+	reply, err := forwarder.Void(ctx, c.agent.gate, c.agent.clock, r)
+	return reply, control.ToTwirp(err)
 }
 
 // Order starts, evicts and stops tasks.
