stand: model interference, faults and cases; judge by history

Cause: the stand-ins were placeholders: no lag, no pairs, no faults, and a judge that could not see requests run by one sending and refused in another. Change: events with moments of the host's clock, and a verdict that is a pure function of their history; a worker model with lagged measurements, pair interference, memory that grows and leases that end work exactly; faults of store, workers, connections and processes; cases as tables of timed steps.

--- a/agent/runner/run.go
+++ b/agent/runner/run.go
@@ -45,6 +45,7 @@
 	beats    *beater.Beater
 	main     *server.Server
 	local    *server.Server
+	killed   chan struct{}
 }
 
 // Run runs an agent until the context ends, then drains it.
@@ -62,7 +63,7 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	a := &Agent{settings: s, clock: clock, log: log, life: cowslipbend.Incarnation(cowslipbend.DrawID())}
+	a := &Agent{settings: s, clock: clock, log: log, life: cowslipbend.Incarnation(cowslipbend.DrawID()), killed: make(chan struct{})}
 	opts := gater.Defaults()
 	a.gate = gater.New(a.life, clock, opts)
 	a.machine = executor.New(s.Worker, workerTimeout)
@@ -70,7 +71,7 @@
 	a.config = publisher.NewHolder(s.Secret, log)
 	a.forward = forwarder.New(a.gate, endpointConns, opts.Answer)
 	var err error
-	if a.main, err = server.Listen(s.Listen, a.handler()); err != nil {
+	if a.main, err = server.ListenWrapped(s.Listen, s.Wrap, a.handler()); err != nil {
 		return nil, err
 	}
 	if a.local, err = server.Listen(s.Local, a.localHandler()); err != nil {
@@ -127,6 +128,9 @@
 	g.Go(func() error {
 		select {
 		case <-work.Done():
+		case <-a.killed:
+			stop()
+			return nil
 		case <-ctx.Done():
 			a.drain(work)
 		}
@@ -167,8 +171,10 @@
 	a.machine.Close()
 }
 
-// Kill drops all connections at once, as a crash would. For tests.
+// Kill stops the agent at once, as a crash would: nothing is drained. It must
+// be called once. For tests.
 func (a *Agent) Kill() {
+	close(a.killed)
 	a.main.Close()
 	a.local.Close()
 }
--- a/agent/runner/settings.go
+++ b/agent/runner/settings.go
@@ -26,6 +26,8 @@
 	Poll    cowslipbend.Span
 	// Drain is how long requests in flight may go on after SIGTERM.
 	Drain cowslipbend.Span
+	// Wrap lets tests and the stand play faults of the network.
+	Wrap server.Wrap
 }
 
 // Defaults returns the settings of a usual agent.
--- a/entry/runner/run.go
+++ b/entry/runner/run.go
@@ -59,6 +59,7 @@
 	main     *server.Server
 	http     *http.Client
 	leaving  atomic.Bool
+	killed   chan struct{}
 }
 
 // Run runs an entry until the context ends, then drains it.
@@ -80,6 +81,7 @@
 		settings: s, clock: clock, log: log, life: cowslipbend.Incarnation(cowslipbend.DrawID()),
 		store: storer.New(s.Store, storeTimeout), track: tracker.New(clock, s.Domain),
 		config: publisher.NewHolder(s.Secret, log), limits: limiter.New(), http: dialer.Pooled(s.Secret),
+		killed: make(chan struct{}),
 	}
 	e.configs = publisher.Store{Table: e.store, Objects: e.store.Objects()}
 	policy, err := router.Policy(s.Routing)
@@ -91,7 +93,7 @@
 	e.router = router.New(e.track, policy, router.TableClaims{Table: e.store}, opts, log)
 	e.config.OnChange(func(_ cowslipbend.Revision, set *cowslipbend.Set) { e.limits.Declare(set.Limits) })
 	handler := &lateHandler{}
-	if e.main, err = server.Listen(s.Listen, handler); err != nil {
+	if e.main, err = server.ListenWrapped(s.Listen, s.Wrap, handler); err != nil {
 		return nil, err
 	}
 	e.build()
@@ -176,6 +178,9 @@
 	g.Go(func() error {
 		select {
 		case <-work.Done():
+		case <-e.killed:
+			stop()
+			return nil
 		case <-ctx.Done():
 			e.drain(work)
 		}
@@ -206,8 +211,12 @@
 	e.store.Close()
 }
 
-// Kill drops all connections at once, as a crash would. For tests.
-func (e *Entry) Kill() { e.main.Close() }
+// Kill stops the entry at once, as a crash would: nothing is drained or handed
+// over. It must be called once. For tests.
+func (e *Entry) Kill() {
+	close(e.killed)
+	e.main.Close()
+}
 
 // refresh reads the head of the configuration and installs a newer set.
 func (e *Entry) refresh(ctx context.Context) error {
--- a/entry/runner/settings.go
+++ b/entry/runner/settings.go
@@ -26,6 +26,8 @@
 	// Drain how long requests in flight may go on after that.
 	Delay cowslipbend.Span
 	Drain cowslipbend.Span
+	// Wrap lets tests and the stand play faults of the network.
+	Wrap server.Wrap
 }
 
 // Defaults returns the settings of a usual entry.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -44,6 +44,18 @@
 	return Serve(ln, h), nil
 }
 
+// Wrap puts something around a listener; nil leaves it as it is.
+type Wrap func(net.Listener) net.Listener
+
+// ListenWrapped is Listen with something around the listener.
+func ListenWrapped(addr string, wrap Wrap, h http.Handler) (*Server, error) {
+	s, err := Listen(addr, h)
+	if err == nil && wrap != nil {
+		s.ln = wrap(s.ln)
+	}
+	return s, err
+}
+
 // Serve returns a server on an open listener.
 func Serve(ln net.Listener, h http.Handler) *Server {
 	s := &http.Server{
--- a/stand/firm/firm.go
+++ b/stand/firm/firm.go
@@ -16,16 +16,18 @@
 	Name    string
 	Pool    cowslipbend.PoolID
 	Service cowslipbend.ServiceID
-	// Callers is the team behind the service, Teams those behind batch.
+	// Callers is the team behind the service.
 	Callers cowslipbend.TeamID
-	Teams   []cowslipbend.TeamID
-	Class   cowslipbend.Class
+	// Objective marks an answer of the service as late.
+	Objective cowslipbend.Span
+	// Usual is the firm's everyday batch, Noisy the one that comes in waves
+	// and pairs badly with the service.
+	Usual   Kind
+	Noisy   Kind
 	Workers int
 	Domains int
 	Rack    int // workers in a rack
 	Size    cowslipbend.Resources
-	// Task is the size of a usual batch task.
-	Task cowslipbend.Resources
 }
 
 // Get returns a firm by its name, or KindInvalid.
@@ -33,24 +35,34 @@
 	switch name {
 	case "fraser":
 		return Firm{
-			Name: name, Pool: "ledger", Service: "settle", Callers: "controllers",
-			Teams: []cowslipbend.TeamID{"closers", "auditors"}, Class: "netting",
+			Name: name, Pool: "ledger", Service: "settle", Callers: "controllers", Objective: 40 * cowslipbend.Millisecond,
+			Usual: kind("netting", "closers", 2, 4, 3), Noisy: kind("audit", "auditors", 2, 4, 2),
 			Workers: 11, Domains: 3, Rack: 3,
 			Size: cowslipbend.Resources{CPU: 16 * cowslipbend.Core, Mem: 60 * cowslipbend.GB},
-			Task: cowslipbend.Resources{CPU: 2 * cowslipbend.Core, Mem: 4 * cowslipbend.GB},
 		}, nil
 	case "easement":
 		return Firm{
-			Name: name, Pool: "easements", Service: "parcels", Callers: "agents",
-			Teams: []cowslipbend.TeamID{"lawyers", "cadastre"}, Class: "bundle",
+			Name: name, Pool: "easements", Service: "parcels", Callers: "agents", Objective: 60 * cowslipbend.Millisecond,
+			Usual: kind("bundle", "lawyers", 4, 8, 4), Noisy: kind("cadastre", "cadastre", 4, 8, 2),
 			Workers: 11, Domains: 4, Rack: 3,
 			Size: cowslipbend.Resources{CPU: 32 * cowslipbend.Core, Mem: 125 * cowslipbend.GB},
-			Task: cowslipbend.Resources{CPU: 4 * cowslipbend.Core, Mem: 8 * cowslipbend.GB},
 		}, nil
 	}
 	return Firm{}, cowslipbend.Invalid("--firm", name+" is unknown", "use fraser or easement")
 }
 
+// tasksInJob is the count of tasks in a usual job.
+const tasksInJob = 8
+
+// kind returns a kind of batch whose tasks have the size in cores and GB and
+// the length in seconds.
+func kind(class cowslipbend.Class, team cowslipbend.TeamID, cores, gigabytes, seconds int64) Kind {
+	return Kind{
+		Class: class, Team: team, Tasks: tasksInJob, Length: cowslipbend.Span(seconds) * cowslipbend.Second,
+		Size: cowslipbend.Resources{CPU: cowslipbend.Core, Mem: 0}.Times(cores).Plus(cowslipbend.Resources{Mem: cowslipbend.GB}.Times(gigabytes)),
+	}
+}
+
 // Domain returns the failure domain of the i-th host.
 func (f Firm) Domain(i int) cowslipbend.Domain {
 	return cowslipbend.Domain(fmt.Sprintf("d%d", i%f.Domains+1))
--- a/stand/judge/judge.go
+++ b/stand/judge/judge.go
@@ -1,130 +1,49 @@
 // Package judge keeps the truth that only the stand-ins see: what ran, where
-// and how often. The system under test is never asked.
+// and how often. The system under test is never asked. Judge keeps the events
+// of one process or, behind Handler, those that Clients of other processes
+// post; Verdict counts in them what must never happen.
 package judge
 
 import (
 	"sync"
-
-	"cowslipbend.dev"
 )
 
-// Verdict counts what must never happen.
-type Verdict struct {
-	Wrong    int `json:"wrong"`
-	Twice    int `json:"twice"`
-	Falsenot int `json:"falsenot"`
-	Lost     int `json:"lost"`
-	Double   int `json:"double"`
-	Over     int `json:"over"`
-}
-
-// Broken reports whether any count is above zero.
-func (v Verdict) Broken() bool {
-	return v.Wrong+v.Twice+v.Falsenot+v.Lost+v.Double+v.Over > 0
-}
-
 // Judge gathers events. It is safe for concurrent use.
 type Judge struct {
-	mu       sync.Mutex
-	runs     map[string]int
-	once     map[string]int
-	notrun   []string
-	running  map[cowslipbend.TaskID]cowslipbend.WorkerID
-	finished map[cowslipbend.TaskID]int
-	verdict  Verdict
+	mu     sync.Mutex
+	events []Event
+	lives  map[string]Moment
 }
 
 // New returns a judge that has seen nothing.
-func New() *Judge {
-	return &Judge{
-		runs: map[string]int{}, once: map[string]int{},
-		running: map[cowslipbend.TaskID]cowslipbend.WorkerID{}, finished: map[cowslipbend.TaskID]int{},
-	}
-}
+func New() *Judge { return &Judge{lives: map[string]Moment{}} }
 
-// Ran notes that an endpoint ran the attempt with the nonce. A non-idempotent
-// one also has the caller's id.
-func (j *Judge) Ran(nonce, id string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.runs[nonce]++
-	if id == "" {
-		return
+// Note takes an event. An event without a moment happens now.
+func (j *Judge) Note(e Event) {
+	if e.At == 0 {
+		e.At = Now()
 	}
-	j.once[id]++
-	if j.once[id] > 1 {
-		j.verdict.Twice++
-	}
-}
-
-// Wrong notes an answer that was not whole or not the caller's own.
-func (j *Judge) Wrong() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.verdict.Wrong++
-}
-
-// NotRun notes that a caller was told so.
-func (j *Judge) NotRun(nonce string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.notrun = append(j.notrun, nonce)
-}
-
-// Began notes that a task runs on a worker.
-func (j *Judge) Began(task cowslipbend.TaskID, worker cowslipbend.WorkerID) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if at, runs := j.running[task]; runs && at != worker {
-		j.verdict.Double++
-	}
-	j.running[task] = worker
-}
-
-// Ended notes that a task no longer runs on a worker.
-func (j *Judge) Ended(task cowslipbend.TaskID, worker cowslipbend.WorkerID) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.running[task] == worker {
-		delete(j.running, task)
-	}
-}
-
-// Finished notes that a task ran to its end.
-func (j *Judge) Finished(task cowslipbend.TaskID) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.finished[task]++
-	if j.finished[task] > 1 {
-		j.verdict.Double++
-	}
-}
-
-// Completed returns the count of tasks that ran to their end.
-func (j *Judge) Completed() int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return len(j.finished)
+	j.events = append(j.events, e)
 }
 
-// Over notes a moment with a worker over its capacity.
-func (j *Judge) Over() {
+// Alive notes that the life of a worker is heard from. What a life that fell
+// silent for good left running is taken to end with its last word.
+func (j *Judge) Alive(life string, at Moment) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.verdict.Over++
+	j.lives[life] = max(j.lives[life], at)
 }
 
-// Verdict returns the counts. Lost is what the caller counts as submitted but
-// neither finished nor set aside.
-func (j *Judge) Verdict(lost int) Verdict {
+// Events returns all events so far in the order of their moments.
+func (j *Judge) Events() History {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	v := j.verdict
-	v.Lost = lost
-	for _, nonce := range j.notrun {
-		if j.runs[nonce] > 0 {
-			v.Falsenot++
-		}
+	h := History{Events: append([]Event(nil), j.events...), Lives: map[string]Moment{}}
+	for life, at := range j.lives {
+		h.Lives[life] = at
 	}
-	return v
+	h.sort()
+	return h
 }
--- a/stand/platform/platform.go
+++ b/stand/platform/platform.go
@@ -21,13 +21,37 @@
 type Platform struct {
 	Table   *keeper.Table
 	Objects *keeper.Objects
+	faults  *faults
 }
 
-// New returns an empty platform.
-func New() *Platform { return &Platform{Table: &keeper.Table{}, Objects: &keeper.Objects{}} }
+// New returns an empty platform whose faults follow the seed.
+func New(seed uint64) *Platform {
+	return &Platform{Table: &keeper.Table{}, Objects: &keeper.Objects{}, faults: newFaults(seed)}
+}
+
+// SetFault replaces the fault.
+func (p *Platform) SetFault(f Fault) { p.faults.set(f) }
 
-// Handler returns the HTTP protocol.
+// Handler returns the HTTP protocol, and POST /fault, which takes a Fault.
 func (p *Platform) Handler() http.Handler {
+	all := http.NewServeMux()
+	all.Handle("/", p.faults.wrap(p.store()))
+	all.HandleFunc("POST /fault", p.takeFault)
+	return all
+}
+
+func (p *Platform) takeFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&f); err != nil {
+		reply(w, nil, cowslipbend.Failf(cowslipbend.KindInvalid, err, "send a fault", "body does not decode"))
+		return
+	}
+	p.SetFault(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// store returns the protocol of package storer.
+func (p *Platform) store() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /table/commit", p.commit)
 	mux.HandleFunc("GET /table/row", p.row)
--- a/stand/try.go
+++ b/stand/try.go
@@ -18,9 +18,12 @@
 		Usage: "run the whole system on loopback and sum up in one line",
 		Flags: []cli.Flag{
 			starter.String("firm", "fraser", "fraser or easement"),
-			starter.String("case", "quiet", "what is played"),
-			starter.String("policy", "guarded", "placement policy"),
-			starter.Span("for", 20*cowslipbend.Second, "how long callers call"),
+			starter.String("case", "quiet", "what is played; list names all cases"),
+			starter.String("policy", "guarded", "placement policy: guarded, firstfit or leastloaded"),
+			starter.String("routing", "", "routing policy of the entries; empty for the usual one"),
+			starter.Span("cap", 0, "cap of leases that witnesses extend; 0 for the usual one"),
+			starter.String("only", "", "play services or batch alone"),
+			starter.Span("for", 0, "how long callers call; 0 for the case's own length"),
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of all randomness of the stand"},
 			starter.String("log", "error", "level of the log"),
 		},
@@ -29,12 +32,16 @@
 }
 
 func runTry(ctx context.Context, c *cli.Command) error {
+	if c.String("case") == "list" {
+		return try.List(os.Stdout)
+	}
 	log, err := starter.Logger("try", c.String("log"), os.Stderr)
 	if err != nil {
 		return err
 	}
 	o := try.Options{
-		Firm: c.String("firm"), Case: c.String("case"), Policy: c.String("policy"),
+		Firm: c.String("firm"), Case: c.String("case"), Policy: c.String("policy"), Routing: c.String("routing"),
+		Cap: cowslipbend.SpanOf(c.Duration("cap")), Only: c.String("only"),
 		For: cowslipbend.SpanOf(c.Duration("for")), Seed: c.Uint64("seed"), Log: log,
 	}
 	if isatty.IsTerminal(os.Stderr.Fd()) {
--- a/stand/try/try.go
+++ b/stand/try/try.go
@@ -1,22 +1,24 @@
-// Package try runs the whole system on loopback with its stand-ins, plays one
-// of the firms against it, and sums up what happened.
+// Package try runs the whole system on loopback with its stand-ins, plays a
+// case of one of the firms against it, and sums up what happened.
 package try
 
 import (
 	"context"
-	"encoding/json"
+	"fmt"
 	"io"
-	"syscall"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
 	"cowslipbend.dev"
+	agent "cowslipbend.dev/agent/runner"
+	"cowslipbend.dev/checker"
 	"cowslipbend.dev/director"
+	entry "cowslipbend.dev/entry/runner"
 	"cowslipbend.dev/operator"
 	"cowslipbend.dev/stand/firm"
-	"cowslipbend.dev/stand/judge"
 	"cowslipbend.dev/stand/load"
 	"cowslipbend.dev/timer"
 )
@@ -26,86 +28,173 @@
 	Firm   string
 	Case   string
 	Policy string
-	For    cowslipbend.Span
-	Seed   uint64
+	// Routing and Guard choose policies of entries and agents; empty keeps
+	// the usual ones.
+	Routing string
+	Guard   string
+	// Cap is the cap of leases that witnesses extend; 0 keeps the usual one.
+	Cap cowslipbend.Span
+	// Only plays services or batch alone.
+	Only string
+	// For is how long callers call; 0 is the case's own length.
+	For  cowslipbend.Span
+	Seed uint64
 	// Progress gets a line now and then; nil for none.
 	Progress io.Writer
 	Log      hclog.Logger
 }
 
-// Result is the one line that a try ends with.
-type Result struct {
-	Case    string  `json:"case"`
-	Policy  string  `json:"policy"`
-	Seed    uint64  `json:"seed"`
-	Seconds float64 `json:"seconds"`
-	Calls   int64   `json:"calls"`
-	Ran     int64   `json:"ran"`
-	Refused int64   `json:"refused"`
-	Unknown int64   `json:"unknown"`
-	P50     float64 `json:"p50"`
-	P99     float64 `json:"p99"`
-	P999    float64 `json:"p999"`
-	Late    int64   `json:"late"`
-	judge.Verdict
-	Submitted  int     `json:"submitted"`
-	Finished   int     `json:"finished"`
-	CPUSeconds float64 `json:"cpuseconds"`
-	Evictions  int     `json:"evictions"`
-	Control    float64 `json:"control"` // seconds of processor time of this process
+// The values of Only.
+const (
+	OnlyServices = "services"
+	OnlyBatch    = "batch"
+)
+
+// Check returns all faults at once.
+func (o *Options) Check() error {
+	var l cowslipbend.Errors
+	_, err := firm.Get(o.Firm)
+	l.Add(err)
+	_, err = find(o.Case)
+	l.Add(err)
+	switch o.Policy {
+	case "guarded", "firstfit", "leastloaded":
+	default:
+		l.Add(cowslipbend.Invalid("--policy", o.Policy+" is unknown", "use guarded, firstfit or leastloaded"))
+	}
+	switch o.Only {
+	case "", OnlyServices, OnlyBatch:
+	default:
+		l.Add(cowslipbend.Invalid("--only", o.Only+" is unknown", "use services or batch, or leave it out"))
+	}
+	if o.For < 0 || (o.For > 0 && o.For < cowslipbend.Second) {
+		l.Add(cowslipbend.Invalid("--for", o.For.String()+" is too short", "give 1s or more"))
+	}
+	if o.Cap < 0 {
+		l.Add(cowslipbend.Invalid("--cap", "is below zero", "give a time, at least the lease"))
+	}
+	return l.Err()
 }
 
+func (o *Options) entry(s *entry.Settings) {
+	if o.Routing != "" {
+		s.Routing = o.Routing
+	}
+	if o.Cap > 0 {
+		s.Cap = o.Cap
+	}
+}
+
+func (o *Options) agent(*agent.Settings) {}
+
 // opTimeout bounds one call to an entry.
 const opTimeout = 5 * cowslipbend.Second
 
 // Run runs one try.
 func Run(ctx context.Context, o Options) (Result, error) {
+	if err := o.Check(); err != nil {
+		return Result{}, err
+	}
 	f, err := firm.Get(o.Firm)
 	if err != nil {
 		return Result{}, err
 	}
-	s, err := Start(ctx, f, o.Log)
+	c, err := find(o.Case)
 	if err != nil {
 		return Result{}, err
 	}
-	r, err := s.play(ctx, o)
+	if o.For == 0 {
+		o.For = c.Length
+	}
+	s, err := Start(ctx, o, f)
+	if err != nil {
+		return Result{}, err
+	}
+	r, err := s.try(ctx, c)
 	if stopErr := s.Stop(); err == nil {
 		err = stopErr
 	}
 	return r, err
 }
 
-// play publishes, plays load for the time, lets batch finish, and sums up.
-func (s *System) play(ctx context.Context, o Options) (Result, error) {
-	op := operator.New(s.Entries[0], "", opTimeout)
-	if err := s.publish(ctx, op, o); err != nil {
-		return Result{}, err
+// try publishes, plays the case, lets batch finish, and sums up.
+func (s *System) try(ctx context.Context, c scenario) (Result, error) {
+	balancer := load.NewBalancer(s.URLs(), timer.Host{})
+	callers := load.New(load.Usual(s.firm, s.opts.Seed), balancer, s.judge)
+	mix := load.Mix{Noisy: c.Noisy, Misdeclared: c.Misdeclared, Urgent: true}
+	batch := load.NewBatch(s.firm, balancer, mix, s.opts.Seed, timer.Host{})
+	p := &player{
+		System: s, callers: callers, batch: batch, balancer: balancer, scale: float64(s.opts.For) / float64(c.Length),
 	}
-	if err := s.await(ctx, op); err != nil {
+	if err := s.prepare(ctx); err != nil {
 		return Result{}, err
 	}
-	began := time.Now()
-	callers, batch, err := s.load(ctx, o)
-	if err != nil {
+	before := s.usage()
+	if err := p.underLoad(ctx, c); err != nil {
 		return Result{}, err
 	}
-	jobs, err := s.settle(ctx, op, batch, o)
+	after := s.usage()
+	jobs := p.settle(ctx)
+	return p.sum(jobs, before, after), nil
+}
+
+// underLoad plays callers, batch and the steps for the time of the try.
+func (p *player) underLoad(ctx context.Context, c scenario) error {
+	ctx, cancel := context.WithTimeout(ctx, p.opts.For.Duration())
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return p.balancer.Run(ctx) })
+	if p.opts.Only != OnlyBatch {
+		g.Go(func() error { return p.callers.Run(ctx) })
+	}
+	if p.opts.Only != OnlyServices {
+		g.Go(func() error { return p.batch.Run(ctx) })
+	}
+	g.Go(func() error { return p.play(ctx, c.Steps) })
+	g.Go(func() error { return p.report(ctx) })
+	return g.Wait()
+}
+
+// reportPeriod is the time between two lines of progress.
+const reportPeriod = 2 * cowslipbend.Second
+
+func (p *player) report(ctx context.Context) error {
+	return timer.Every(ctx, timer.Host{}, reportPeriod, func(context.Context) error {
+		t := p.callers.Tally()
+		useful, _ := p.Progress()
+		if p.opts.Progress != nil {
+			fmt.Fprintf(p.opts.Progress, "calls %d refused %d unknown %d late %d p99 %.1f ms, batch %.0f cpu-seconds\n",
+				t.Calls, t.Refused, t.Unknown, t.Late, t.P99, useful)
+		}
+		return nil
+	})
+}
+
+// prepare publishes the firm's set and waits for its replicas.
+func (s *System) prepare(ctx context.Context) error {
+	files, err := s.files(0)
 	if err != nil {
-		return Result{}, err
+		return err
+	}
+	op := operator.New(s.URLs()[0], "", opTimeout)
+	if _, err := op.Publish(ctx, 0, files); err != nil {
+		return err
 	}
-	return s.sum(o, callers.Tally(), jobs, batch, time.Since(began)), nil
+	return s.await(ctx, op)
 }
 
-func (s *System) publish(ctx context.Context, op *operator.Client, o Options) error {
+// files returns the firm's declarations with the policy of the try. Each
+// revision changes a rate that is never reached.
+func (s *System) files(rev int64) (checker.Files, error) {
 	files, err := s.firm.Files()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if o.Policy != "" {
-		files[poolFile] = append(files[poolFile], []byte("policy: "+o.Policy+"\n")...)
+	files[poolFile] = append(files[poolFile], []byte("policy: "+s.opts.Policy+"\n")...)
+	for name, data := range files {
+		files[name] = []byte(strings.Replace(string(data), "rate: 20000", fmt.Sprintf("rate: %d", 20000+rev), 1))
 	}
-	_, err = op.Publish(ctx, 0, files)
-	return err
+	return files, nil
 }
 
 // poolFile is the declaration that a try's policy is added to.
@@ -116,6 +205,7 @@
 	readyTimeout  = 30 * time.Second
 	settleTimeout = 60 * time.Second
 	look          = cowslipbend.Second / 4
+	warmUp        = 2 * cowslipbend.Second
 )
 
 // await waits until every replica of the service runs.
@@ -125,7 +215,7 @@
 	for {
 		jobs, err := op.Jobs(ctx, s.firm.Pool)
 		if err == nil && running(jobs) >= s.firm.Workers {
-			timer.Sleep(ctx, timer.Host{}, 2*cowslipbend.Second)
+			timer.Sleep(ctx, timer.Host{}, warmUp)
 			return nil
 		}
 		if !timer.Sleep(ctx, timer.Host{}, look) {
@@ -144,86 +234,31 @@
 	return n
 }
 
-// load plays callers and batch for the time of the try.
-func (s *System) load(ctx context.Context, o Options) (*load.Callers, *load.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, o.For.Duration())
-	defer cancel()
-	callers := load.New(load.Options{
-		Firm: s.firm, Entries: s.Entries, Rate: 300, Watchers: 6, Posts: 10, Repeats: 20,
-		Objective: 40, Seed: o.Seed,
-	}, s.Judge)
-	batch := load.NewBatch(load.BatchOptions{
-		Firm: s.firm, Entries: s.Entries, Period: cowslipbend.Second, Tasks: 12, Length: 2 * cowslipbend.Second,
-		Noise: 0.02, Seed: o.Seed,
-	}, timer.Host{})
-	var g errgroup.Group
-	g.Go(func() error { return callers.Run(ctx) })
-	g.Go(func() error { return batch.Run(ctx) })
-	return callers, batch, g.Wait()
-}
-
-// settle waits until no accepted job is open, and returns the listing.
-func (s *System) settle(ctx context.Context, op *operator.Client, b *load.Batch, o Options) ([]director.Job, error) {
+// settle waits until no accepted task is open, and returns the listing.
+func (p *player) settle(ctx context.Context) []director.Job {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	for {
-		jobs, err := op.Jobs(ctx, s.firm.Pool)
-		if err == nil && open(jobs, b.Submitted()) == 0 {
-			return jobs, nil
-		}
-		if o.Progress != nil && err == nil {
-			_, _ = io.WriteString(o.Progress, "waiting for batch to finish\n")
+	var last []director.Job
+	for i := 0; ; i++ {
+		urls := p.URLs()
+		jobs, err := operator.New(urls[i%len(urls)], "", opTimeout).Jobs(ctx, p.firm.Pool)
+		if err == nil {
+			last = jobs
+			if openTasks(jobs, p.batch.Accepted()) == 0 {
+				return jobs
+			}
 		}
 		if !timer.Sleep(ctx, timer.Host{}, look) {
-			return jobs, nil
+			return last
 		}
 	}
 }
 
-// open counts the tasks of accepted jobs that are neither finished nor set
-// aside.
-func open(jobs []director.Job, accepted []cowslipbend.JobID) int {
-	byID := map[cowslipbend.JobID]director.Job{}
-	for _, j := range jobs {
-		byID[j.ID] = j
-	}
+// openTasks counts the accepted tasks that are neither finished nor set aside.
+func openTasks(jobs []director.Job, accepted []load.Accepted) int {
 	n := 0
-	for _, id := range accepted {
-		j, ok := byID[id]
-		if !ok {
-			n++
-			continue
-		}
-		n += j.Tasks - j.Phases[cowslipbend.Finished] - j.Phases[cowslipbend.Parked] - j.Phases[cowslipbend.Cancelled]
+	for _, o := range load.Outcomes(jobs, accepted) {
+		n += max(o.Tasks-o.Finished-o.Parked-o.Cancelled, 0)
 	}
 	return n
 }
-
-func (s *System) sum(o Options, t load.Tally, jobs []director.Job, b *load.Batch, took time.Duration) Result {
-	r := Result{
-		Case: o.Case, Policy: o.Policy, Seed: o.Seed, Seconds: took.Seconds(),
-		Calls: t.Calls, Ran: t.Ran, Refused: t.Refused, Unknown: t.Unknown, Late: t.Late,
-		P50: t.P50, P99: t.P99, P999: t.P999,
-		Finished: s.Judge.Completed(), Verdict: s.Judge.Verdict(open(jobs, b.Submitted())), Control: processorTime(),
-	}
-	for _, j := range jobs {
-		if j.Batch() {
-			r.Submitted += j.Tasks
-			r.Evictions += j.Evictions
-			r.CPUSeconds += float64(j.CPU) / float64(cowslipbend.Second)
-		}
-	}
-	return r
-}
-
-// processorTime returns the seconds that this process has used.
-func processorTime() float64 {
-	var u syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano()).Seconds()
-}
-
-// Write writes the result as one line.
-func (r Result) Write(w io.Writer) error { return json.NewEncoder(w).Encode(r) }
--- a/stand/worker/handler.go
+++ b/stand/worker/handler.go
@@ -12,7 +12,8 @@
 // maxBody bounds one order.
 const maxBody = 1 << 20 // bytes
 
-// Handler returns the HTTP protocol of package executor.
+// Handler returns the HTTP protocol of package executor, and POST /fault,
+// which takes a Fault.
 func (w *Worker) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /tasks/start", order(func(r *http.Request, s cowslipbend.Start) error { return w.Start(r.Context(), s) }))
@@ -30,7 +31,14 @@
 		rw.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(rw).Encode(s)
 	})
-	return mux
+	orders := w.hold(mux)
+	all := http.NewServeMux()
+	all.Handle("/", orders)
+	all.HandleFunc("POST /fault", order(func(_ *http.Request, f Fault) error {
+		w.SetFault(f)
+		return nil
+	}))
+	return all
 }
 
 // order decodes a body and answers with the result of f.
--- a/stand/worker/work.go
+++ b/stand/worker/work.go
@@ -9,13 +9,11 @@
 // Work is what the stand-in reads from the work of a job: the truth that the
 // declared sizes only estimate.
 type Work struct {
-	// CPU and Mem are what the task really uses.
+	// CPU and Mem are what the task really uses; Mem is reached half-way.
 	CPU cowslipbend.Millicores `json:"cpu"`
 	Mem cowslipbend.Bytes      `json:"mem"`
 	// Total is the processor time to its end, in core-milliseconds.
 	Total cowslipbend.CPUTime `json:"total"`
-	// Noise is how much it slows down others, per core that it uses.
-	Noise float64 `json:"noise,omitempty"`
 	// Fail makes every attempt fail.
 	Fail bool `json:"fail,omitempty"`
 }
--- a/stand/worker/worker.go
+++ b/stand/worker/worker.go
@@ -1,7 +1,7 @@
 // Package worker is the stand-in for the platform's worker: it runs tasks in
-// model time without using a processor, slows services down by what runs
-// beside them, freezes tasks whose lease has ended, and reports with a lag.
-// It serves the HTTP protocol of package executor.
+// model time without using a processor, slows them and the services down by
+// what runs beside them, freezes tasks whose lease has ended, and reports with
+// a lag. It serves the HTTP protocol of package executor.
 package worker
 
 import (
@@ -28,6 +28,9 @@
 	Lag   cowslipbend.Span
 	Slots int
 	Conns int
+	// Slowdown tells how much the first class suffers from the second.
+	Slowdown func(victim, other cowslipbend.Class) float64
+	Seed     uint64
 }
 
 // Times of the model.
@@ -36,51 +39,50 @@
 	announcePeriod = cowslipbend.Second
 )
 
-// task is one attempt on the worker.
-type task struct {
-	start     cowslipbend.Start
-	work      Work
-	done      cowslipbend.CPUTime
-	percent   int
-	frozen    bool
-	ended     bool
-	status    cowslipbend.TaskStatus
-	endpoint  *endpoint
-	announced cowslipbend.Time
-}
-
 // Worker is a worker that models its tasks. It is safe for concurrent use.
 type Worker struct {
 	opts    Options
 	clock   cowslipbend.Clock
-	judge   *judge.Judge
+	judge   judge.Recorder
 	objects cowslipbend.Objects
 	log     hclog.Logger
 	client  *http.Client
 	done    chan struct{}
 	group   errgroup.Group
 
-	mu    sync.Mutex
-	tasks map[cowslipbend.TaskID]*task
-	last  cowslipbend.Time
+	mu       sync.Mutex
+	tasks    map[cowslipbend.TaskID]*task
+	last     cowslipbend.Time
+	over     bool
+	fault    Fault
+	heard    chan struct{}
+	useful   cowslipbend.CPUTime
+	finished cowslipbend.CPUTime
+	draws    uint64
 }
 
 // New returns an idle worker.
-func New(opts Options, clock cowslipbend.Clock, j *judge.Judge, objects cowslipbend.Objects, log hclog.Logger) *Worker {
+func New(opts Options, clock cowslipbend.Clock, j judge.Recorder, objects cowslipbend.Objects, log hclog.Logger) *Worker {
 	return &Worker{
-		opts: opts, clock: clock, judge: j, objects: objects, log: log, client: &http.Client{},
+		opts: opts, clock: clock, judge: j, objects: objects, log: log, client: &http.Client{Timeout: announceTimeout},
 		done: make(chan struct{}), tasks: map[cowslipbend.TaskID]*task{}, last: clock.Now(),
 	}
 }
 
-// Run moves the model on until the context ends.
+// Run moves the model on until the context ends. All attempts end with it, as
+// those of a host that fails do.
 func (w *Worker) Run(ctx context.Context) error {
 	defer close(w.done)
 	defer w.closeAll()
 	defer w.client.CloseIdleConnections()
-	return timer.Every(ctx, w.clock, step, func(ctx context.Context) error {
+	w.group.Go(func() error {
+		return timer.Every(ctx, w.clock, announcePoll, func(ctx context.Context) error {
+			w.announce(ctx)
+			return nil
+		})
+	})
+	return timer.Every(ctx, w.clock, step, func(context.Context) error {
 		w.Step()
-		w.announce(ctx)
 		return nil
 	})
 }
@@ -88,82 +90,24 @@
 // Done is closed when Run has returned.
 func (w *Worker) Done() <-chan struct{} { return w.done }
 
-// Step moves the model to the present.
-func (w *Worker) Step() {
+// closeAll ends all attempts and closes the endpoints.
+func (w *Worker) closeAll() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	now := w.clock.Now()
-	passed := now.Sub(w.last)
-	w.last = now
-	share := w.share()
 	for _, t := range w.tasks {
-		w.move(t, now, passed, share)
-	}
-}
-
-// share is the part of its demand that each task gets when the processors are
-// over-used.
-func (w *Worker) share() float64 {
-	var demand cowslipbend.Millicores
-	for _, t := range w.tasks {
-		demand += t.demand()
-	}
-	if demand <= w.opts.Size.CPU || demand == 0 {
-		return 1
-	}
-	return float64(w.opts.Size.CPU) / float64(demand)
-}
-
-// percentAll is the throttle of a task that is not throttled.
-const percentAll = 100
-
-func (t *task) demand() cowslipbend.Millicores {
-	if t.ended || t.frozen {
-		return 0
-	}
-	return t.work.CPU * cowslipbend.Millicores(t.percent) / percentAll
-}
-
-// move advances one task.
-func (w *Worker) move(t *task, now cowslipbend.Time, passed cowslipbend.Span, share float64) {
-	if t.ended || t.start.Service != "" {
-		return
-	}
-	frozen := t.start.Until <= now
-	if frozen != t.frozen {
-		t.frozen = frozen
-		w.tell(t)
-	}
-	if frozen {
-		return
-	}
-	t.done += cowslipbend.CPUTime(float64(t.demand()) * float64(passed) / float64(cowslipbend.Core) * share)
-	switch {
-	case t.work.Fail:
-		w.end(t, cowslipbend.TaskStatus{Phase: cowslipbend.Queued, Failed: true, Reason: "task failed"})
-	case t.done >= t.work.Total:
-		w.judge.Finished(t.start.Task)
-		w.end(t, cowslipbend.TaskStatus{Phase: cowslipbend.Finished})
-	}
-}
-
-// tell tells the judge whether the task runs.
-func (w *Worker) tell(t *task) {
-	if t.frozen || t.ended {
-		w.judge.Ended(t.start.Task, w.opts.ID)
-		return
+		if !t.ended {
+			w.end(t, cowslipbend.TaskStatus{Phase: cowslipbend.Queued, Reason: "worker stopped"})
+		}
 	}
-	w.judge.Began(t.start.Task, w.opts.ID)
+	w.mu.Unlock()
+	_ = w.group.Wait()
 }
 
-func (w *Worker) end(t *task, s cowslipbend.TaskStatus) {
-	t.ended = true
-	s.CPU = t.done
-	t.status = s
-	if t.endpoint != nil {
-		t.endpoint.close()
-	}
-	w.tell(t)
+// Progress returns the processor time that batch got here and did not lose
+// again, and that of its finished tasks.
+func (w *Worker) Progress() (useful, finished cowslipbend.CPUTime) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.useful, w.finished
 }
 
 // Start runs an attempt.
@@ -174,34 +118,26 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if t, ok := w.tasks[s.Task]; ok && t.start.Attempt >= s.Attempt {
-		return nil
+	if t, ok := w.tasks[s.Task]; ok {
+		if t.start.Attempt >= s.Attempt {
+			return nil
+		}
+		if !t.ended {
+			w.end(t, cowslipbend.TaskStatus{Phase: cowslipbend.Queued, Reason: "a newer attempt came"})
+		}
 	}
-	t := &task{start: s, work: parseWork(s), done: done, percent: percentAll}
-	if s.Service != "" {
+	t := &task{start: s, work: parseWork(s), began: w.clock.Now(), done: done, resumed: done, percent: percentAll}
+	if t.service() {
 		if t.endpoint, err = w.open(s); err != nil {
 			return err
 		}
 	}
 	w.tasks[s.Task] = t
-	w.over()
-	w.tell(t)
+	w.judge.Note(w.event(judge.Began, t))
+	w.weigh()
 	return nil
 }
 
-// over counts a moment at which more is reserved than there is.
-func (w *Worker) over() {
-	var sum cowslipbend.Resources
-	for _, t := range w.tasks {
-		if !t.ended {
-			sum = sum.Plus(t.start.Size)
-		}
-	}
-	if !sum.Fits(w.opts.Size) {
-		w.judge.Over()
-	}
-}
-
 // resume reads the progress in a checkpoint.
 func (w *Worker) resume(ctx context.Context, from string) (cowslipbend.CPUTime, error) {
 	if from == "" {
@@ -218,8 +154,9 @@
 	return cowslipbend.CPUTime(n), nil
 }
 
-// Lease moves lease ends.
+// Lease moves lease ends. What has run up to now counts under the old ones.
 func (w *Worker) Lease(_ context.Context, until map[cowslipbend.TaskID]cowslipbend.Time) error {
+	w.Step()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, end := range until {
@@ -249,19 +186,31 @@
 	return t
 }
 
-// Evict checkpoints an attempt and stops it.
+// Evict checkpoints an attempt and stops it. An attempt whose checkpoint could
+// not be written runs on.
 func (w *Worker) Evict(ctx context.Context, id cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
 	w.mu.Lock()
 	t := w.running(id, attempt)
-	if t == nil || t.start.Service != "" {
+	if t == nil || t.service() || t.saving {
 		w.mu.Unlock()
 		return nil
 	}
-	name := "checkpoint-" + cowslipbend.DrawID()
-	w.end(t, cowslipbend.TaskStatus{Phase: cowslipbend.Queued, Reason: "evicted", Checkpoint: name})
+	t.saving = true
 	progress := strconv.FormatInt(int64(t.done), 10)
 	w.mu.Unlock()
-	return w.objects.Put(ctx, name, []byte(progress))
+	name := "checkpoint-" + cowslipbend.DrawID()
+	err := w.objects.Put(ctx, name, []byte(progress))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.saving = false
+	if err != nil || t.ended {
+		return err
+	}
+	e := w.event(judge.Saved, t)
+	e.Checkpoint = name
+	w.judge.Note(e)
+	w.end(t, cowslipbend.TaskStatus{Phase: cowslipbend.Queued, Reason: "evicted", Checkpoint: name})
+	return nil
 }
 
 // Stop ends an attempt.
@@ -280,27 +229,28 @@
 	defer w.mu.Unlock()
 	if t, ok := w.tasks[id]; ok && t.ended && t.start.Attempt == attempt {
 		delete(w.tasks, id)
+		w.judge.Note(w.event(judge.Acked, t))
 	}
 	return nil
 }
 
-// Status reports all tasks.
+// Status reports all tasks. A running one that is younger than the lag has no
+// measurement yet: its Measured is zero.
 func (w *Worker) Status(context.Context) (cowslipbend.MachineStatus, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := w.clock.Now()
 	m := cowslipbend.MachineStatus{Size: w.opts.Size}
 	for _, t := range w.tasks {
 		s := t.status
 		s.Task, s.Attempt, s.Class, s.Service, s.Size = t.start.Task, t.start.Attempt, t.start.Class, t.start.Service, t.start.Size
 		s.Percent = t.percent
-		s.Measured = w.clock.Now().Add(-w.opts.Lag)
 		if !t.ended {
 			s.Phase = cowslipbend.Running
-			s.Usage = cowslipbend.Resources{CPU: t.demand(), Mem: t.work.Mem}
 			s.CPU = t.done
-		}
-		if t.endpoint != nil {
-			s.Tail, s.Served = t.endpoint.tail()
+			if seen, ok := t.history.before(now, w.opts.Lag); ok {
+				s.Usage, s.Tail, s.Served, s.Measured = seen.usage, seen.tail, seen.served, seen.at
+			}
 		}
 		m.Tasks = append(m.Tasks, s)
 	}
