checker, starter: report all faults at once, with file and line

Cause: strict decoding stopped at the first unknown field of a file and named no line; a wrong length of time hid every other wrong setting; arguments that a program has no use for were ignored; NaN passed as an amount.

--- a/agent/main.go
+++ b/agent/main.go
@@ -35,6 +35,7 @@
 			starter.Span("poll", d.Poll, "time between looks at the worker"),
 			starter.Span("drain", d.Drain, "time for requests in flight after SIGTERM"),
 		},
+		Before: starter.Defer,
 		Action: run,
 	}
 }
@@ -49,7 +50,7 @@
 		Drain: cowslipbend.SpanOf(c.Duration("drain")),
 	}
 	log, err := starter.Logger("agent", s.Log, os.Stderr)
-	if err != nil {
+	if err := starter.Faults(c, s.Check(), err); err != nil {
 		return err
 	}
 	return runner.Run(ctx, s, timer.Host{}, log)
--- a/checker/check.go
+++ b/checker/check.go
@@ -6,75 +6,126 @@
 	"cowslipbend.dev"
 )
 
-// Check checks a decoded set as a whole: each object, unique names, and that
-// every reference leads to an object.
-func Check(set *cowslipbend.Set) error {
-	c := &check{pools: map[string]bool{}, teams: map[string]bool{}, services: map[string]bool{}}
+// Check checks a decoded set as a whole: each object, unique names, that
+// every reference leads to an object, and that no job exceeds its team's
+// quota.
+func Check(set *cowslipbend.Set) error { return check(set, nil, false) }
+
+// check reports faults at their places. A partial set is one of which some
+// objects did not decode, so that missing references mean nothing.
+func check(set *cowslipbend.Set, at places, partial bool) error {
+	c := &checks{places: at, partial: partial, seen: map[string]string{}}
+	c.declare(set)
 	for i := range set.Pools {
 		p := &set.Pools[i]
-		c.unique(c.pools, "pool", string(p.Name))
-		c.l.Add(p.Check("pool " + string(p.Name)))
+		c.add("pool", i, p.Check("pool "+string(p.Name)))
 	}
 	for i := range set.Teams {
 		t := &set.Teams[i]
-		c.unique(c.teams, "team", string(t.Name))
-		c.l.Add(t.Check("team " + string(t.Name)))
+		c.add("team", i, t.Check("team "+string(t.Name)))
 	}
 	for i := range set.Services {
-		s := &set.Services[i]
-		c.unique(c.services, "service", string(s.Name))
-		c.service(s)
+		c.service(i, &set.Services[i])
 	}
 	c.limits(set.Limits)
-	c.jobs(set.Jobs)
+	c.jobs(set)
 	return c.l.Err()
 }
 
-type check struct {
-	l                      cowslipbend.Errors
-	pools, teams, services map[string]bool
+type checks struct {
+	l       cowslipbend.Errors
+	places  places
+	partial bool
+	// seen holds the key of the object by kind and name.
+	seen map[string]string
+}
+
+func (c *checks) add(kind string, index int, err error) {
+	c.l.Add(c.places.locate(keyOf(kind, index), err))
 }
 
-func (c *check) unique(seen map[string]bool, kind, name string) {
-	if seen[name] {
-		c.l.Add(cowslipbend.Invalid(kind+" "+name, "is declared twice", "remove or rename one"))
+// declare notes all names and reports those that are declared twice.
+func (c *checks) declare(set *cowslipbend.Set) {
+	for i := range set.Pools {
+		c.unique("pool", i, string(set.Pools[i].Name))
+	}
+	for i := range set.Teams {
+		c.unique("team", i, string(set.Teams[i].Name))
+	}
+	for i := range set.Services {
+		c.unique("service", i, string(set.Services[i].Name))
+	}
+	for i := range set.Limits {
+		c.unique("limit", i, set.Limits[i].Name)
 	}
-	seen[name] = true
+	for i := range set.Jobs {
+		c.unique("job", i, string(set.Jobs[i].ID))
+	}
+}
+
+func (c *checks) unique(kind string, index int, name string) {
+	other, twice := c.seen[kind+" "+name]
+	if !twice {
+		c.seen[kind+" "+name] = keyOf(kind, index)
+		return
+	}
+	what := "is declared twice"
+	if doc, ok := c.places[other]; ok {
+		what = "is declared at " + doc.prefix("name") + " too"
+	}
+	c.add(kind, index, cowslipbend.Invalid(kind+" "+name, what, "remove or rename one"))
 }
 
-func (c *check) refer(seen map[string]bool, path, kind, name string) {
-	if name != "" && !seen[name] {
-		c.l.Add(cowslipbend.Invalid(path, fmt.Sprintf("no %s is named %q", kind, name), "declare it or correct the name"))
+// refer returns a fault if nothing of the kind has the name.
+func (c *checks) refer(path, kind, name string) error {
+	if _, ok := c.seen[kind+" "+name]; ok || name == "" || c.partial {
+		return nil
 	}
+	return cowslipbend.Invalid(path+"."+kind, fmt.Sprintf("no %s is named %q", kind, name), "declare it or correct the name")
 }
 
-func (c *check) service(s *cowslipbend.Service) {
+func (c *checks) service(i int, s *cowslipbend.Service) {
 	path := "service " + string(s.Name)
-	c.l.Add(s.Check(path))
-	c.refer(c.pools, path+".pool", "pool", string(s.Pool))
-	c.refer(c.teams, path+".team", "team", string(s.Team))
+	c.add("service", i, s.Check(path))
+	c.add("service", i, c.refer(path, "pool", string(s.Pool)))
+	c.add("service", i, c.refer(path, "team", string(s.Team)))
+	if s.Timeout > 0 && s.Timeout < s.Objective.P99 {
+		c.add("service", i, cowslipbend.Invalid(path+".timeout",
+			fmt.Sprintf("%s is below the objective's p99 of %s", s.Timeout, s.Objective.P99), "give requests at least that time"))
+	}
 }
 
-func (c *check) limits(limits []cowslipbend.Limit) {
-	seen := map[string]bool{}
+// limits also refuses two limits on the same requests, as only the lower one
+// would count.
+func (c *checks) limits(limits []cowslipbend.Limit) {
+	scopes := map[string]string{}
 	for i := range limits {
 		m := &limits[i]
 		path := "limit " + m.Name
-		c.unique(seen, "limit", m.Name)
-		c.l.Add(m.Check(path))
-		c.refer(c.teams, path+".team", "team", string(m.Team))
-		c.refer(c.services, path+".service", "service", string(m.Service))
+		c.add("limit", i, m.Check(path))
+		c.add("limit", i, c.refer(path, "team", string(m.Team)))
+		c.add("limit", i, c.refer(path, "service", string(m.Service)))
+		scope := string(m.Team) + "\n" + string(m.Service)
+		if other, twice := scopes[scope]; twice && scope != "\n" {
+			c.add("limit", i, cowslipbend.Invalid(path, "bounds the same requests as limit "+other, "keep the lower one"))
+		}
+		scopes[scope] = m.Name
 	}
 }
 
-func (c *check) jobs(jobs []cowslipbend.Job) {
-	seen := map[string]bool{}
-	for i := range jobs {
-		j := &jobs[i]
+func (c *checks) jobs(set *cowslipbend.Set) {
+	quotas := map[cowslipbend.TeamID]cowslipbend.Resources{}
+	for i := range set.Teams {
+		quotas[set.Teams[i].Name] = set.Teams[i].Quota
+	}
+	for i := range set.Jobs {
+		j := &set.Jobs[i]
 		path := "job " + string(j.ID)
-		c.unique(seen, "job", string(j.ID))
-		c.l.Add(j.Check())
-		c.refer(c.pools, path+".pool", "pool", string(j.Pool))
-		c.refer(c.teams, path+".team", "team", string(j.Team))
+		c.add("job", i, j.Check())
+		c.add("job", i, c.refer(path, "pool", string(j.Pool)))
+		c.add("job", i, c.refer(path, "team", string(j.Team)))
+		if quota := quotas[j.Team]; quota != (cowslipbend.Resources{}) && !j.Size.Fits(quota) {
+			c.add("job", i, cowslipbend.Invalid(path+".size", "one task exceeds the quota of team "+string(j.Team), "ask for less, or raise the quota"))
+		}
 	}
 }
--- a/checker/decode.go
+++ b/checker/decode.go
@@ -53,21 +53,36 @@
 	return false
 }
 
-// Decode decodes and checks a whole set. All faults are returned at once.
+// Decode decodes and checks a whole set. All faults are returned at once,
+// those of objects that decode beside those of objects that do not.
 func Decode(files Files) (*cowslipbend.Set, error) {
-	d := &decoder{set: &cowslipbend.Set{}, where: map[string]string{}}
+	d := &decoder{set: &cowslipbend.Set{}, places: places{}}
 	for _, name := range sorted(files) {
 		d.file(name, files[name])
 	}
-	if len(d.faults) > 0 {
-		return nil, d.faults.Err()
-	}
-	if err := Check(d.set); err != nil {
-		return nil, d.locate(err)
+	d.faults.Add(check(d.set, d.places, d.broken))
+	if err := d.faults.Err(); err != nil {
+		return nil, err
 	}
 	return d.set, nil
 }
 
+// DecodeJob decodes and checks one job, which may name its kind.
+func DecodeJob(name string, data []byte) (cowslipbend.Job, error) {
+	d := &decoder{set: &cowslipbend.Set{}, places: places{}, only: "job"}
+	d.file(name, data)
+	if len(d.faults) == 0 && len(d.set.Jobs) != 1 {
+		d.faults.Add(cowslipbend.Invalid(name, fmt.Sprintf("holds %d jobs", len(d.set.Jobs)), "give one job in each file"))
+	}
+	for i := range d.set.Jobs {
+		d.faults.Add(d.places.locate(keyOf("job", i), d.set.Jobs[i].Check()))
+	}
+	if err := d.faults.Err(); err != nil {
+		return cowslipbend.Job{}, err
+	}
+	return d.set.Jobs[0], nil
+}
+
 func sorted(files Files) []string {
 	names := make([]string, 0, len(files))
 	for name := range files {
@@ -77,100 +92,121 @@
 	return names
 }
 
-// decoder gathers a set and the file of each object.
+// decoder gathers a set and the place of each object.
 type decoder struct {
 	set    *cowslipbend.Set
-	where  map[string]string
+	places places
 	faults cowslipbend.Errors
+	// only is the kind of a document that names none; empty demands a name.
+	only string
+	// broken is set once a document was left out, so that a reference to
+	// what it declares is not reported too.
+	broken bool
 }
 
 // file decodes the documents of one file.
 func (d *decoder) file(name string, data []byte) {
 	if len(data) > maxFile {
-		d.faults.Add(cowslipbend.Invalid(name, "is larger than 4 MB", "split it"))
+		d.fault(cowslipbend.Invalid(name, "is larger than 4 MB", "split it"))
 		return
 	}
-	for i, doc := range bytes.Split(data, []byte("\n---")) {
-		if len(bytes.TrimSpace(doc)) == 0 {
+	for _, doc := range split(name, data) {
+		d.document(doc)
+	}
+}
+
+func (d *decoder) fault(err error) {
+	d.broken = true
+	d.faults.Add(err)
+}
+
+// document is one document of a file.
+type document struct {
+	file string
+	line int // of its first line, from 1
+	text []byte
+}
+
+// split cuts a file at the lines that hold only "---".
+func split(name string, data []byte) []document {
+	var docs []document
+	doc := document{file: name, line: 1}
+	for i, line := range bytes.SplitAfter(data, []byte("\n")) {
+		if string(bytes.TrimRight(line, " \t\r\n")) != "---" {
+			doc.text = append(doc.text, line...)
 			continue
 		}
-		at := name
-		if i > 0 {
-			at = fmt.Sprintf("%s#%d", name, i+1)
+		docs = append(docs, doc)
+		doc = document{file: name, line: i + 2}
+	}
+	docs = append(docs, doc)
+	kept := docs[:0]
+	for _, doc := range docs {
+		if len(bytes.TrimSpace(doc.text)) > 0 {
+			kept = append(kept, doc)
 		}
-		d.document(at, bytes.TrimPrefix(doc, []byte("---")))
 	}
+	return kept
 }
 
-// kind is the part of a document that tells how to read the rest.
-type kind struct {
-	Kind string `json:"kind"`
-}
-
-func (d *decoder) document(at string, doc []byte) {
-	var k kind
-	if err := yaml.Unmarshal(doc, &k); err != nil {
-		d.fault(at, err)
+func (d *decoder) document(doc document) {
+	var fields map[string]any
+	if err := yaml.UnmarshalStrict(doc.text, &fields); err != nil {
+		d.fault(syntax(doc, err))
 		return
 	}
-	switch k.Kind {
-	case "pool":
-		into(d, at, doc, &d.set.Pools, func(p *cowslipbend.Pool) string { return string(p.Name) })
-	case "team":
-		into(d, at, doc, &d.set.Teams, func(t *cowslipbend.Team) string { return string(t.Name) })
-	case "limit":
-		into(d, at, doc, &d.set.Limits, func(m *cowslipbend.Limit) string { return m.Name })
-	case "service":
-		into(d, at, doc, &d.set.Services, func(s *cowslipbend.Service) string { return string(s.Name) })
-	case "job":
-		into(d, at, doc, &d.set.Jobs, func(j *cowslipbend.Job) string { return string(j.ID) })
+	kind, ok := fields["kind"].(string)
+	if _, named := fields["kind"]; !named && d.only != "" {
+		kind, ok = d.only, true
+	}
+	if !ok || (d.only != "" && kind != d.only) {
+		kind = fmt.Sprint(fields["kind"])
+	}
+	delete(fields, "kind")
+	switch {
+	case d.only != "" && kind != d.only:
+		d.fault(cowslipbend.Invalid(doc.at("kind"), fmt.Sprintf("%q is not %s", kind, d.only), "give a "+d.only))
+	case kind == "pool":
+		into(d, doc, kind, fields, &d.set.Pools)
+	case kind == "team":
+		into(d, doc, kind, fields, &d.set.Teams)
+	case kind == "limit":
+		into(d, doc, kind, fields, &d.set.Limits)
+	case kind == "service":
+		into(d, doc, kind, fields, &d.set.Services)
+	case kind == "job":
+		into(d, doc, kind, fields, &d.set.Jobs)
 	default:
-		d.faults.Add(cowslipbend.Invalid(at+": kind", fmt.Sprintf("%q is unknown", k.Kind), "use pool, team, limit, service or job"))
+		d.fault(cowslipbend.Invalid(doc.at("kind"), fmt.Sprintf("%q is unknown", kind), "use pool, team, limit, service or job"))
 	}
 }
 
-// into decodes one object strictly and appends it.
-func into[T any](d *decoder, at string, doc []byte, list *[]T, name func(*T) string) {
-	var v struct {
-		kind  `json:",inline"`
-		Value T `json:",inline"`
-	}
-	bare, err := withoutKind(doc)
-	if err == nil {
-		err = yaml.UnmarshalStrict(bare, &v.Value)
-	}
-	if err != nil {
-		d.fault(at, err)
+// into fills one object strictly and appends it, or notes its faults.
+func into[T any](d *decoder, doc document, kind string, fields map[string]any, list *[]T) {
+	var v T
+	if faults := fill(&v, fields); len(faults) > 0 {
+		for _, f := range faults {
+			d.fault(cowslipbend.Invalid(doc.at(f.path), f.what, f.remedy))
+		}
 		return
 	}
-	d.where[fmt.Sprintf("%T.%s", v.Value, name(&v.Value))] = at
-	*list = append(*list, v.Value)
-}
-
-// withoutKind drops the kind, so that the rest decodes strictly.
-func withoutKind(doc []byte) ([]byte, error) {
-	var m map[string]any
-	if err := yaml.UnmarshalStrict(doc, &m); err != nil {
-		return nil, err
-	}
-	delete(m, "kind")
-	return yaml.Marshal(m)
+	d.places[keyOf(kind, len(*list))] = doc
+	*list = append(*list, v)
 }
 
-func (d *decoder) fault(at string, err error) {
-	text := strings.TrimPrefix(err.Error(), "error unmarshaling JSON: while decoding JSON: ")
-	d.faults.Add(cowslipbend.Invalid(at, text, "compare it with the schema of the kind"))
-}
-
-// locate puts the file before each fault of an object.
-func (d *decoder) locate(err error) error {
-	var l cowslipbend.Errors
-	l.Add(err)
-	for _, e := range l {
-		head, _, _ := strings.Cut(e.Path, " ")
-		if file, ok := d.where[head]; ok {
-			e.Path = file + ": " + e.Path
-		}
-	}
-	return l.Err()
+// syntax turns an error of the YAML library into one line with its place.
+func syntax(doc document, err error) error {
+	text := err.Error()
+	for _, prefix := range []string{"error converting YAML to JSON: ", "error unmarshaling JSON: ", "while decoding JSON: ", "yaml: "} {
+		text = strings.TrimPrefix(text, prefix)
+	}
+	line := 0
+	if n, scanErr := fmt.Sscanf(text, "line %d:", &line); n == 1 && scanErr == nil {
+		_, text, _ = strings.Cut(text, ": ")
+	} else if n, scanErr := fmt.Sscanf(text, "unmarshal errors:\n line %d:", &line); n == 1 && scanErr == nil {
+		text = strings.TrimSpace(text[strings.Index(text, "line "):])
+		_, text, _ = strings.Cut(text, ": ")
+	}
+	text = strings.ReplaceAll(text, "\n", "; ")
+	return cowslipbend.Invalid(fmt.Sprintf("%s:%d", doc.file, doc.line+max(line, 1)-1), text, "write YAML or JSON with one object a document")
 }
--- a/entry/main.go
+++ b/entry/main.go
@@ -34,6 +34,7 @@
 			starter.Span("delay", d.Delay, "time that the balancer takes to notice a leaving entry"),
 			starter.Span("drain", d.Drain, "time for requests in flight after that"),
 		},
+		Before: starter.Defer,
 		Action: run,
 	}
 }
@@ -46,7 +47,7 @@
 		Delay: cowslipbend.SpanOf(c.Duration("delay")), Drain: cowslipbend.SpanOf(c.Duration("drain")),
 	}
 	log, err := starter.Logger("entry", s.Log, os.Stderr)
-	if err != nil {
+	if err := starter.Faults(c, s.Check(), err); err != nil {
 		return err
 	}
 	return runner.Run(ctx, s, timer.Host{}, log)
--- a/resource.go
+++ b/resource.go
@@ -88,6 +88,13 @@
 	return l.Err()
 }
 
+// Bounds of amounts that are read. They keep sums over a whole system within
+// 64 bits, and the comparisons with them refuse a NaN.
+const (
+	maxCores = 1e12 // millicores
+	maxBytes = 1e16
+)
+
 // UnmarshalJSON reads cores as a number such as 1.5, or a string such as "500m".
 func (m *Millicores) UnmarshalJSON(b []byte) error {
 	text := strings.Trim(string(b), `"`)
@@ -96,7 +103,7 @@
 		text, scale = rest, 1
 	}
 	n, err := strconv.ParseFloat(text, 64)
-	if err != nil || n*scale > 1e12 || n < 0 {
+	if err != nil || !(n >= 0 && n*scale <= maxCores) {
 		return Invalid("cpu", string(b)+" is no amount of cores", "write cores as 1.5 or \"1500m\"")
 	}
 	*m = Millicores(n * scale)
@@ -118,7 +125,7 @@
 		}
 	}
 	v, err := strconv.ParseFloat(text, 64)
-	if err != nil || v*scale > 1e16 || v < 0 {
+	if err != nil || !(v >= 0 && v*scale <= maxBytes) {
 		return Invalid("bytes", string(b)+" is no amount of bytes", "write bytes as 1048576, \"512M\" or \"2G\"")
 	}
 	*n = Bytes(v * scale)
