--- a/internal/starter/flag.go
+++ b/internal/starter/flag.go
@@ -1,6 +1,7 @@
 package starter
 
 import (
+	"context"
 	"strings"
 	"time"
 
