cowslip, reporter: every verb of the operators' shell, and the burn report

Cause: operators had no shell; nothing counted how services keep objectives. Change: cowslip has check, diff, publish, status, jobs, submit, cancel, drain, undrain, burn, schema and completion, with exit codes by kind of error; package reporter counts each request at the entry by cause, keeps the counts in rows of the table that only one life of an entry writes (one write in 10 s while there is traffic), and merges them into burn over windows with the alerts that they raise; package renderer draws them. Metrics of entry and agent. Operators get every fault of a call, not only the first.

--- a/agent/runner/run.go
+++ b/agent/runner/run.go
@@ -43,6 +43,7 @@
 	config   *publisher.Holder
 	forward  *forwarder.Forwarder
 	beats    *beater.Beater
+	metrics  *prometheus.Registry
 	main     *server.Server
 	local    *server.Server
 }
@@ -69,6 +70,7 @@
 	a.tasks = tasker.New(a.machine, clock)
 	a.config = publisher.NewHolder(s.Secret, log)
 	a.forward = forwarder.New(a.gate, endpointConns, opts.Answer)
+	a.metrics = newMetrics(a)
 	var err error
 	if a.main, err = server.Listen(s.Listen, a.handler()); err != nil {
 		return nil, err
@@ -96,7 +98,7 @@
 	mux.Handle(rpc.PathPrefix(), server.Guard(a.settings.Secret, rpc))
 	conf := control.NewConfigServer(a.config)
 	mux.Handle(conf.PathPrefix(), server.Guard(a.settings.Secret, conf))
-	server.Ops(mux, prometheus.NewRegistry(), a.ready)
+	server.Ops(mux, a.metrics, a.ready)
 	return mux
 }
 
--- a/checker/decode.go
+++ b/checker/decode.go
@@ -61,6 +61,7 @@
 		d.file(name, files[name])
 	}
 	d.faults.Add(check(d.set, d.places, d.broken))
+	arrange(d.faults)
 	if err := d.faults.Err(); err != nil {
 		return nil, err
 	}
--- a/checker/place.go
+++ b/checker/place.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"regexp"
+	"sort"
+	"strconv"
 	"strings"
 
 	"cowslipbend.dev"
@@ -67,6 +69,32 @@
 	return -1
 }
 
+// arrange puts faults in the order of their files and lines.
+func arrange(faults cowslipbend.Errors) {
+	sort.SliceStable(faults, func(i, j int) bool {
+		fileI, lineI := placeOf(faults[i].Path)
+		fileJ, lineJ := placeOf(faults[j].Path)
+		if fileI != fileJ {
+			return fileI < fileJ
+		}
+		return lineI < lineJ
+	})
+}
+
+// placeOf takes a path that begins with "file:line" apart.
+func placeOf(path string) (string, int) {
+	place, _, _ := strings.Cut(path, ": ")
+	i := strings.LastIndex(place, ":")
+	if i < 0 {
+		return place, 0
+	}
+	line, err := strconv.Atoi(place[i+1:])
+	if err != nil {
+		return place, 0
+	}
+	return place[:i], line
+}
+
 func first(lines []string) int {
 	for i, line := range lines {
 		if text := strings.TrimSpace(line); text != "" && !strings.HasPrefix(text, "#") {
--- /dev/null
+++ b/cowslip/system_test.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev"
+	agent "cowslipbend.dev/agent/runner"
+	entry "cowslipbend.dev/entry/runner"
+	"cowslipbend.dev/internal/server"
+	"cowslipbend.dev/stand/judge"
+	"cowslipbend.dev/stand/platform"
+	"cowslipbend.dev/stand/worker"
+	"cowslipbend.dev/storer"
+	"cowslipbend.dev/timer"
+)
+
+const (
+	loopback = "127.0.0.1:0"
+	hosts    = 2 // entries, and workers
+	lag      = cowslipbend.Second / 10
+	wait     = 2 * cowslipbend.Second
+)
+
+// system is a small system on loopback with a store that can be taken out.
+type system struct {
+	platform *platform.Platform
+	out      atomic.Bool
+	store    string
+	entries  []string
+	judge    *judge.Judge
+	group    *errgroup.Group
+}
+
+// startSystem starts a system that stops with the test.
+func startSystem(t testing.TB) *system {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	g, ctx := errgroup.WithContext(ctx)
+	s := &system{platform: platform.New(), judge: judge.New(), group: g}
+	s.store = s.serve(ctx, t, s.gate(s.platform.Handler())).URL()
+	for i := range hosts {
+		s.entry(ctx, t, i)
+	}
+	for i := range hosts {
+		s.worker(ctx, t, i)
+	}
+	t.Cleanup(func() {
+		stop()
+		assert.Check(t, g.Wait())
+	})
+	return s
+}
+
+// gate answers for the store while it is out.
+func (s *system) gate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.out.Load() {
+			server.WriteError(w, cowslipbend.Fail(cowslipbend.KindDown, "store is out", "wait"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *system) serve(ctx context.Context, t testing.TB, h http.Handler) *server.Server {
+	t.Helper()
+	srv, err := server.Listen(loopback, h)
+	assert.NilError(t, err)
+	s.group.Go(srv.Run)
+	s.group.Go(func() error {
+		<-ctx.Done()
+		srv.Close()
+		return nil
+	})
+	return srv
+}
+
+func (s *system) entry(ctx context.Context, t testing.TB, i int) {
+	t.Helper()
+	set := entry.Defaults()
+	set.ID = cowslipbend.EntryID(fmt.Sprintf("e%d", i+1))
+	set.Domain = domain(i)
+	set.Listen, set.Store = loopback, s.store
+	set.Delay, set.Drain = 0, cowslipbend.Second
+	e, err := entry.New(set, timer.Host{}, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	s.entries = append(s.entries, e.URL())
+	s.group.Go(func() error { return e.Run(ctx) })
+}
+
+func (s *system) worker(ctx context.Context, t testing.TB, i int) {
+	t.Helper()
+	id := cowslipbend.WorkerID(fmt.Sprintf("w%d", i+1))
+	local := free(t)
+	opts := worker.Options{
+		ID: id, Size: cowslipbend.Resources{CPU: 4 * cowslipbend.Core, Mem: 8 * cowslipbend.GB},
+		Agent: "http://" + local, Lag: lag, Slots: 8, Conns: 64,
+	}
+	w := worker.New(opts, timer.Host{}, s.judge, storer.New(s.store, wait).Objects(), hclog.NewNullLogger())
+	srv := s.serve(ctx, t, w.Handler())
+	s.group.Go(func() error { return w.Run(ctx) })
+	set := agent.Defaults()
+	set.ID, set.Pool, set.Domain, set.Rack = id, "ledger", domain(i), "r1"
+	set.Listen, set.Local, set.Worker, set.Entries = loopback, local, srv.URL(), s.entries
+	set.Beat, set.Drain = cowslipbend.Second/5, cowslipbend.Second
+	a, err := agent.New(set, timer.Host{}, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	s.group.Go(func() error { return a.Run(ctx) })
+}
+
+func domain(i int) cowslipbend.Domain { return cowslipbend.Domain(fmt.Sprintf("d%d", i+1)) }
+
+// free returns a loopback address with a port that was free a moment ago.
+func free(t testing.TB) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", loopback)
+	assert.NilError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
--- a/director/director.go
+++ b/director/director.go
@@ -7,14 +7,20 @@
 //	GET    /v1/jobs?pool=P
 //	POST   /v1/jobs                         Job
 //	DELETE /v1/jobs/{id}?pool=P
+//	GET    /v1/burn                         the burn report
 //
 // Calls about a pool are passed on to the pool's owner.
 package director
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
@@ -24,6 +30,7 @@
 	"cowslipbend.dev/internal/dialer"
 	"cowslipbend.dev/internal/server"
 	"cowslipbend.dev/publisher"
+	"cowslipbend.dev/reporter"
 	"cowslipbend.dev/scheduler"
 	"cowslipbend.dev/tracker"
 )
@@ -38,14 +45,21 @@
 	config *publisher.Holder
 	store  publisher.Store
 	owners *scheduler.Owners
+	burn   Burn
 	client *http.Client
 	secret string
 	log    hclog.Logger
 }
 
+// Burn makes burn reports.
+type Burn interface {
+	// Report merges what all entries have counted.
+	Report(ctx context.Context, set *cowslipbend.Set) reporter.Report
+}
+
 // New returns a director.
-func New(self tracker.Peer, t *tracker.Tracker, c *publisher.Holder, s publisher.Store, o *scheduler.Owners, secret string, log hclog.Logger) *Director {
-	return &Director{self: self, track: t, config: c, store: s, owners: o, client: dialer.Pooled(secret), secret: secret, log: log}
+func New(self tracker.Peer, t *tracker.Tracker, c *publisher.Holder, s publisher.Store, o *scheduler.Owners, b Burn, secret string, log hclog.Logger) *Director {
+	return &Director{self: self, track: t, config: c, store: s, owners: o, burn: b, client: dialer.Pooled(secret), secret: secret, log: log}
 }
 
 // Close drops the idle connections.
@@ -60,6 +74,7 @@
 	g.GET("/jobs", d.jobs)
 	g.POST("/jobs", d.submit)
 	g.DELETE("/jobs/:id", d.cancel)
+	g.GET("/burn", d.readBurn)
 }
 
 func (d *Director) guard(next echo.HandlerFunc) echo.HandlerFunc {
@@ -71,9 +86,22 @@
 	}
 }
 
+// Refusal is the body of a call that was refused: the first fault, and all of
+// them if there are several.
+type Refusal struct {
+	cowslipbend.Error
+	Faults []*cowslipbend.Error `json:"faults,omitempty"`
+}
+
+// fail answers with all faults of the error.
 func fail(c echo.Context, err error) error {
-	server.WriteError(c.Response(), cowslipbend.AsError(err))
-	return nil
+	first := cowslipbend.AsError(err)
+	list, ok := errors.AsType[cowslipbend.Errors](err)
+	if !ok || len(list) < 2 {
+		server.WriteError(c.Response(), first)
+		return nil
+	}
+	return c.JSON(server.Status(first.Kind), Refusal{Error: *first, Faults: list})
 }
 
 // Process is one process in a status.
@@ -128,6 +156,11 @@
 	return c.JSON(http.StatusOK, Config{Revision: rev, Set: set})
 }
 
+func (d *Director) readBurn(c echo.Context) error {
+	_, set := d.config.Set()
+	return c.JSON(http.StatusOK, d.burn.Report(c.Request().Context(), set))
+}
+
 // Published tells which revision a publish made.
 type Published struct {
 	Revision cowslipbend.Revision `json:"revision"`
@@ -142,6 +175,9 @@
 	if err != nil {
 		return fail(c, err)
 	}
+	if err := d.fits(set); err != nil {
+		return fail(c, err)
+	}
 	rev, raw, err := d.store.Publish(c.Request().Context(), cowslipbend.Revision(base), set)
 	if err != nil {
 		return fail(c, err)
@@ -165,12 +201,46 @@
 	return checker.Decode(files)
 }
 
+// fits returns a fault for each service whose replica no known worker of its
+// pool can hold. A pool without known workers may come later.
+func (d *Director) fits(set *cowslipbend.Set) error {
+	var l cowslipbend.Errors
+	for i := range set.Services {
+		s := &set.Services[i]
+		workers, holds := 0, false
+		for _, a := range d.track.Agents() {
+			if a.Pool == s.Pool && a.Size != (cowslipbend.Resources{}) { // An agent learns its size after it starts.
+				workers++
+				holds = holds || s.Size.Fits(a.Size)
+			}
+		}
+		if workers > 0 && !holds {
+			l.Add(cowslipbend.Invalid("service "+string(s.Name)+".size",
+				fmt.Sprintf("none of the %d workers of pool %s can hold a replica", workers, s.Pool), "ask for less"))
+		}
+	}
+	return l.Err()
+}
+
 // body decodes a JSON body strictly.
 func body(c echo.Context, into any) error {
-	dec := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody))
+	return Decode(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody), into)
+}
+
+// Decode reads one JSON value strictly: a field that is not known, a wrong
+// type, a broken end and text behind the value all give KindInvalid.
+func Decode(r io.Reader, into any) error {
+	dec := json.NewDecoder(r)
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(into); err != nil {
-		return cowslipbend.Failf(cowslipbend.KindInvalid, err, "compare it with the documented form", "body does not decode")
+	err := dec.Decode(into)
+	if err == nil {
+		if _, rest := dec.Token(); !errors.Is(rest, io.EOF) {
+			err = errors.New("text follows the value")
+		}
+	}
+	if err != nil {
+		text := strings.TrimPrefix(err.Error(), "json: ")
+		return cowslipbend.Invalid("body", "does not decode: "+text, "compare it with the documented form")
 	}
 	return nil
 }
@@ -183,6 +253,9 @@
 	if o := d.owners.Owner(pool); o != nil {
 		return o, nil
 	}
+	if !d.known(pool) {
+		return nil, cowslipbend.Fail(cowslipbend.KindMissing, "no pool is named "+strconv.Quote(string(pool)), "declare and publish it, or correct the name")
+	}
 	head := d.owners.Head(pool)
 	if head.URL == "" || head.Owner == d.self.ID || c.Request().Header.Get(headerPassed) != "" {
 		return nil, &cowslipbend.Error{
@@ -192,6 +265,17 @@
 	return nil, d.pass(c, head.URL, payload)
 }
 
+// known reports whether the set in force declares the pool.
+func (d *Director) known(pool cowslipbend.PoolID) bool {
+	_, set := d.config.Set()
+	for i := range set.Pools {
+		if set.Pools[i].Name == pool {
+			return true
+		}
+	}
+	return false
+}
+
 // pass repeats the call at another entry and copies the answer.
 func (d *Director) pass(c echo.Context, url string, payload any) error {
 	data, err := json.Marshal(payload)
--- a/director/jobs.go
+++ b/director/jobs.go
@@ -68,6 +68,9 @@
 	if !job.Batch() {
 		return fail(c, cowslipbend.Invalid("job.service", "is set", "declare services instead of submitting them"))
 	}
+	if err := d.declared(job); err != nil {
+		return fail(c, err)
+	}
 	owner, err := d.owner(c, job.Pool, job)
 	if err != nil {
 		return fail(c, err)
@@ -81,6 +84,17 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
+// declared returns a fault unless the set in force names the team of a job.
+func (d *Director) declared(job cowslipbend.Job) error {
+	_, set := d.config.Set()
+	for i := range set.Teams {
+		if set.Teams[i].Name == job.Team {
+			return nil
+		}
+	}
+	return cowslipbend.Fail(cowslipbend.KindMissing, "no team is named "+string(job.Team), "declare and publish it, or correct job.team")
+}
+
 func (d *Director) cancel(c echo.Context) error {
 	owner, err := d.owner(c, cowslipbend.PoolID(c.QueryParam("pool")), nil)
 	if err != nil {
--- a/entry/runner/run.go
+++ b/entry/runner/run.go
@@ -6,11 +6,9 @@
 	"context"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
-	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"cowslipbend.dev"
@@ -23,6 +21,7 @@
 	"cowslipbend.dev/limiter"
 	"cowslipbend.dev/publisher"
 	"cowslipbend.dev/receiver"
+	"cowslipbend.dev/reporter"
 	"cowslipbend.dev/router"
 	"cowslipbend.dev/scheduler"
 	"cowslipbend.dev/storer"
@@ -56,6 +55,8 @@
 	router   *router.Router
 	owners   *scheduler.Owners
 	director *director.Director
+	burn     *reporter.Recorder
+	metrics  *metrics
 	main     *server.Server
 	http     *http.Client
 	leaving  atomic.Bool
@@ -89,12 +90,15 @@
 	opts := router.Defaults()
 	opts.Secret = s.Secret
 	e.router = router.New(e.track, policy, router.TableClaims{Table: e.store}, opts, log)
+	e.burn = reporter.NewRecorder(s.ID, e.life, e.store, clock, log)
+	e.config.OnChange(func(_ cowslipbend.Revision, set *cowslipbend.Set) { e.burn.Declare(set) })
 	e.config.OnChange(func(_ cowslipbend.Revision, set *cowslipbend.Set) { e.limits.Declare(set.Limits) })
 	handler := &lateHandler{}
 	if e.main, err = server.Listen(s.Listen, handler); err != nil {
 		return nil, err
 	}
 	e.build()
+	e.metrics = newMetrics(e)
 	handler.Handler = e.handler()
 	return e, nil
 }
@@ -109,7 +113,7 @@
 	terms := leaser.Defaults()
 	terms.Length, terms.Cap = e.settings.Lease, e.settings.Cap
 	e.owners = scheduler.NewOwners(self, store, e, &sender{entry: e}, e.config, terms, e.clock, e.log)
-	e.director = director.New(e.peer(), e.track, e.config, e.configs, e.owners, e.settings.Secret, e.log)
+	e.director = director.New(e.peer(), e.track, e.config, e.configs, e.owners, e.burn, e.settings.Secret, e.log)
 }
 
 func (e *Entry) peer() tracker.Peer {
@@ -133,12 +137,10 @@
 	mux.Handle(rpc.PathPrefix(), server.Guard(e.settings.Secret, rpc))
 	conf := control.NewConfigServer(e.config)
 	mux.Handle(conf.PathPrefix(), server.Guard(e.settings.Secret, conf))
-	server.Ops(mux, prometheus.NewRegistry(), e.ready)
+	server.Ops(mux, e.metrics.registry, e.ready)
 	return mux
 }
 
-func (e *Entry) count(cowslipbend.ServiceID, cowslipbend.Outcome, cowslipbend.Kind, time.Duration) {}
-
 func (e *Entry) ready() error {
 	if e.leaving.Load() {
 		return cowslipbend.Fail(cowslipbend.KindLeaving, "entry is shutting down", "send callers to another entry")
@@ -173,6 +175,7 @@
 	g.Go(func() error { return timer.Every(work, e.clock, syncPeriod, e.sync) })
 	g.Go(func() error { return timer.Every(work, e.clock, configPeriod, e.refresh) })
 	g.Go(func() error { return e.enrol(work) })
+	g.Go(func() error { return e.burn.Run(work) })
 	g.Go(func() error {
 		select {
 		case <-work.Done():
--- /dev/null
+++ b/reporter/renderer/html.go
@@ -0,0 +1,63 @@
+package renderer
+
+import (
+	"bytes"
+	_ "embed" // for the page
+	"html/template"
+	"io"
+	"time"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/reporter"
+)
+
+//go:embed page.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("page").Parse(pageText))
+
+// page is what the template shows.
+type page struct {
+	At       string
+	Partial  string
+	Services []section
+}
+
+type section struct {
+	Name      cowslipbend.ServiceID
+	Objective string
+	Left      string
+	Spent     bool
+	Alerts    []reporter.Alert
+	Windows   []line
+	Plot      template.HTML
+}
+
+type line struct {
+	reporter.Counts
+	Span string
+	Burn string
+}
+
+// HTML writes a report as one page.
+func HTML(w io.Writer, r reporter.Report) error {
+	p := page{At: time.UnixMilli(int64(r.At)).UTC().Format("2 January 2006 15:04 UTC"), Partial: r.Partial}
+	for _, s := range r.Services {
+		sec := section{Name: s.Name, Objective: Objective(s.Objective), Left: Left(s), Spent: s.Left < 0, Alerts: s.Alerts}
+		for _, n := range s.Windows {
+			sec.Windows = append(sec.Windows, line{Counts: n.Counts, Span: Span(n.Span), Burn: Burn(n)})
+		}
+		svg, err := plotOf(s)
+		if err != nil {
+			return err
+		}
+		sec.Plot = svg
+		p.Services = append(p.Services, sec)
+	}
+	var b bytes.Buffer
+	if err := pageTemplate.Execute(&b, p); err != nil {
+		return cowslipbend.Failf(cowslipbend.KindBroken, err, "report this", "page cannot be made")
+	}
+	_, err := w.Write(b.Bytes())
+	return err
+}
