--- a/agent/runner/run.go
+++ b/agent/runner/run.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"cowslipbend.dev"
@@ -43,6 +44,7 @@
 	config   *publisher.Holder
 	forward  *forwarder.Forwarder
 	beats    *beater.Beater
+	metrics  *prometheus.Registry
 	main     *server.Server
 	local    *server.Server
 	killed   chan struct{}
@@ -70,6 +72,7 @@
 	a.tasks = tasker.New(a.machine, clock)
 	a.config = publisher.NewHolder(s.Secret, log)
 	a.forward = forwarder.New(a.gate, endpointConns, opts.Answer)
+	a.metrics = newMetrics(a)
 	var err error
 	if a.main, err = server.ListenWrapped(s.Listen, s.Wrap, a.handler()); err != nil {
 		return nil, err
@@ -97,7 +100,7 @@
 	mux.Handle(rpc.PathPrefix(), server.Guard(a.settings.Secret, rpc))
 	conf := control.NewConfigServer(a.config)
 	mux.Handle(conf.PathPrefix(), server.Guard(a.settings.Secret, conf))
-	server.Ops(mux, a.metrics(), a.ready)
+	server.Ops(mux, a.metrics, a.ready)
 	return mux
 }
 
--- a/entry/runner/run.go
+++ b/entry/runner/run.go
@@ -10,7 +10,6 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
-	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"cowslipbend.dev"
@@ -23,6 +22,7 @@
 	"cowslipbend.dev/limiter"
 	"cowslipbend.dev/publisher"
 	"cowslipbend.dev/receiver"
+	"cowslipbend.dev/reporter"
 	"cowslipbend.dev/router"
 	"cowslipbend.dev/scheduler"
 	"cowslipbend.dev/storer"
@@ -57,10 +57,10 @@
 	router   *router.Router
 	claims   *router.TableClaims
 	receiver *receiver.Receiver
-	metrics  *prometheus.Registry
-	calls    *requestMetrics
 	owners   *scheduler.Owners
 	director *director.Director
+	burn     *reporter.Recorder
+	metrics  *metrics
 	main     *server.Server
 	http     *http.Client
 	leaving  atomic.Bool
@@ -99,14 +99,15 @@
 	opts.Retries = s.Retries
 	e.claims = router.NewClaims(e.store, clock)
 	e.router = router.New(e.track, policy, e.claims, opts, clock, log)
+	e.burn = reporter.NewRecorder(s.ID, e.life, e.store, clock, log)
+	e.config.OnChange(func(_ cowslipbend.Revision, set *cowslipbend.Set) { e.burn.Declare(set) })
 	e.config.OnChange(func(_ cowslipbend.Revision, set *cowslipbend.Set) { e.limits.Declare(set.Limits) })
 	handler := &lateHandler{}
 	if e.main, err = server.ListenWrapped(s.Listen, s.Wrap, handler); err != nil {
 		return nil, err
 	}
-	e.metrics = prometheus.NewRegistry()
-	e.calls = newRequestMetrics(e.metrics)
 	e.build()
+	e.metrics = newMetrics(e)
 	handler.Handler = e.handler()
 	return e, nil
 }
@@ -121,7 +122,7 @@
 	terms := leaser.Defaults()
 	terms.Length, terms.Cap = e.settings.Lease, e.settings.Cap
 	e.owners = scheduler.NewOwners(self, store, e, &sender{entry: e}, e.config, terms, e.clock, e.log)
-	e.director = director.New(e.peer(), e.track, e.config, e.configs, e.owners, e.settings.Secret, e.log)
+	e.director = director.New(e.peer(), e.track, e.config, e.configs, e.owners, e.burn, e.settings.Secret, e.log)
 }
 
 func (e *Entry) peer() tracker.Peer {
@@ -146,15 +147,10 @@
 	mux.Handle(rpc.PathPrefix(), server.Guard(e.settings.Secret, rpc))
 	conf := control.NewConfigServer(e.config)
 	mux.Handle(conf.PathPrefix(), server.Guard(e.settings.Secret, conf))
-	server.Ops(mux, e.metrics, e.ready)
+	server.Ops(mux, e.metrics.registry, e.ready)
 	return mux
 }
 
-// count counts the end of a request.
-func (e *Entry) count(service cowslipbend.ServiceID, outcome cowslipbend.Outcome, kind cowslipbend.Kind, took time.Duration) {
-	e.calls.count(service, outcome, kind, took)
-}
-
 func (e *Entry) ready() error {
 	if e.leaving.Load() {
 		return cowslipbend.Fail(cowslipbend.KindLeaving, "entry is shutting down", "send callers to another entry")
@@ -191,6 +187,7 @@
 	g.Go(func() error { return e.enrol(work) })
 	g.Go(func() error { return e.claims.Run(work) })
 	g.Go(func() error { return timer.Every(work, e.clock, trimPeriod, e.trim) })
+	g.Go(func() error { return e.burn.Run(work) })
 	g.Go(func() error {
 		select {
 		case <-work.Done():
