--- a/stand/worker/worker.go
+++ b/stand/worker/worker.go
@@ -28,7 +28,8 @@
 	Lag   cowslipbend.Span
 	Slots int
 	Conns int
-	// Slowdown tells how much the first class suffers from the second.
+	// Slowdown tells how much the first class suffers from the second; nil is
+	// for classes that do not disturb each other.
 	Slowdown func(victim, other cowslipbend.Class) float64
 	Seed     uint64
 }
@@ -63,6 +64,9 @@
 
 // New returns an idle worker.
 func New(opts Options, clock cowslipbend.Clock, j judge.Recorder, objects cowslipbend.Objects, log hclog.Logger) *Worker {
+	if opts.Slowdown == nil {
+		opts.Slowdown = func(cowslipbend.Class, cowslipbend.Class) float64 { return 0 }
+	}
 	return &Worker{
 		opts: opts, clock: clock, judge: j, objects: objects, log: log, client: &http.Client{Timeout: announceTimeout},
 		done: make(chan struct{}), tasks: map[cowslipbend.TaskID]*task{}, last: clock.Now(),
