--- a/reporter/report.go
+++ b/reporter/report.go
@@ -142,15 +142,19 @@
 
 func (b buckets) merge(o buckets) {
 	for service, minutes := range o {
-		if b[service] == nil {
-			b[service] = map[minute]Counts{}
-		}
 		for m, c := range minutes {
-			b[service][m] = b[service][m].Plus(c)
+			b.add(service, m, c)
 		}
 	}
 }
 
+func (b buckets) add(service cowslipbend.ServiceID, m minute, c Counts) {
+	if b[service] == nil {
+		b[service] = map[minute]Counts{}
+	}
+	b[service][m] = b[service][m].Plus(c)
+}
+
 // summarise reports on one service. The minute now is counted in full.
 func summarise(s *cowslipbend.Service, minutes map[minute]Counts, now minute) Service {
 	out := Service{Name: s.Name, Objective: s.Objective}
--- a/reporter/row.go
+++ b/reporter/row.go
@@ -58,14 +58,13 @@
 	}
 	b := buckets{}
 	for service, parts := range in {
-		b[service] = map[minute]Counts{}
 		for _, n := range parts {
 			m := minute(n[0])
 			if m.hour() != h || min(n[1], n[2], n[3], n[4], n[5], n[6]) < 0 {
 				return nil, cowslipbend.Fail(cowslipbend.KindBroken, "row "+key+" holds impossible counts", "delete the row")
 			}
 			c := Counts{Good: n[1], Late: n[2], Refused: n[3], Failed: n[4], Unknown: n[5], Limited: n[6]}
-			b[service][m] = b[service][m].Plus(c)
+			b.add(service, m, c)
 		}
 	}
 	return b, nil
