starter, meter: pages of settings and metrics, generated and checked

Cause: nothing told operators all flags, variables and metrics, and a page written by hand drifts. Change: tests of each program hold docs/operate/settings/ and docs/operate/metrics.md to the flags and registries; -update writes them.

--- /dev/null
+++ b/cowslip/main_test.go
@@ -0,0 +1,18 @@
+package main
+
+import (
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"cowslipbend.dev/internal/starter"
+)
+
+// TestSettings holds the operators' page to the flags; -update writes it.
+func TestSettings(t *testing.T) {
+	page, err := filepath.Abs("../docs/operate/settings/cowslip.md")
+	assert.NilError(t, err)
+	golden.Assert(t, starter.Document(command()), page)
+}
--- a/cowslip/output.go
+++ b/cowslip/output.go
@@ -49,10 +49,13 @@
 	yellow colour = "33"
 )
 
-// paint returns the text in a colour if the writer is a terminal and NO_COLOR
-// is not set.
+// plain is the variable by which users of any program refuse colours.
+const plain = "NO_COLOR" //nolint:misspell // Its name is agreed among programs.
+
+// paint returns the text in a colour if the writer is a terminal and colours
+// are not refused.
 func paint(w io.Writer, c colour, text string) string {
-	if !terminal(w) || os.Getenv("NO_COLOR") != "" {
+	if !terminal(w) || os.Getenv(plain) != "" {
 		return text
 	}
 	return "\x1b[" + string(c) + "m" + text + "\x1b[0m"
--- a/cowslip/submit.go
+++ b/cowslip/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -49,18 +50,22 @@
 	return err
 }
 
+// take reads at most one byte more than a job may have.
+func take(c *cli.Command, name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(io.LimitReader(c.Root().Reader, maxJob+1))
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	data, err := io.ReadAll(io.LimitReader(f, maxJob+1))
+	return data, errors.Join(err, f.Close())
+}
+
 // read returns the content of a file, or of the standard input for "-".
 func read(c *cli.Command, name string) ([]byte, error) {
-	in := c.Root().Reader
-	if name != "-" {
-		f, err := os.Open(name)
-		if err != nil {
-			return nil, cowslipbend.Failf(cowslipbend.KindInvalid, err, "give a readable file, or - for the standard input", "cannot read the job")
-		}
-		defer f.Close()
-		in = f
-	}
-	data, err := io.ReadAll(io.LimitReader(in, maxJob+1))
+	data, err := take(c, name)
 	if err != nil {
 		return nil, cowslipbend.Failf(cowslipbend.KindInvalid, err, "give a readable file, or - for the standard input", "cannot read the job")
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -38,7 +38,7 @@
 
 // description takes a prometheus.Desc apart, which has no other way to tell
 // its parts.
-var description = regexp.MustCompile(`fqName: "([^"]*)", help: "((?:[^"\\]|\\.)*)", constLabels: {[^}]*}, variableLabels: {([^}]*)}`)
+var description = regexp.MustCompile(`fqName: "([^"]*)", help: "((?:[^"\\]|\\.)*)", unit: "[^"]*", constLabels: {[^}]*}, variableLabels: {([^}]*)}`)
 
 // List returns the metrics of the system in a registry by name, without
 // those of the process itself.
--- a/internal/starter/flag.go
+++ b/internal/starter/flag.go
@@ -73,11 +73,9 @@
 // Set takes the text of a length of time, or keeps the fault.
 func (s *spanValue) Set(text string) error {
 	v, err := time.ParseDuration(text)
-	if err != nil {
-		s.fault.err = err
-		return nil
+	if s.fault.err = err; err == nil {
+		*s.into = v
 	}
-	*s.into = v
 	return nil
 }
 
--- a/reporter/renderer/plot.go
+++ b/reporter/renderer/plot.go
@@ -3,7 +3,8 @@
 import (
 	"bytes"
 	"html/template"
-	"image/color"
+	"image/color" //nolint:misspell // The package is named so.
+	"math"
 	"strings"
 
 	"gonum.org/v1/plot"
@@ -22,13 +23,32 @@
 	plotHeight = 2.6 * vg.Inch
 )
 
+// The colours of a plot.
+//
+//nolint:misspell // The package is named so.
+var (
+	blue  = color.NRGBA{R: 0x1f, G: 0x5f, B: 0xbf, A: 0xff}
+	shade = color.NRGBA{R: 0x1f, G: 0x5f, B: 0xbf, A: 0x30}
+	red   = color.NRGBA{R: 0xb3, G: 0x26, B: 0x1e, A: 0xff}
+)
+
+// stroke returns the style of a line.
+//
+//nolint:misspell // The library's names.
+func stroke(width vg.Length, c color.Color) draw.LineStyle {
+	return draw.LineStyle{Color: c, Width: width}
+}
+
 // plotOf draws the burn of a service over time as SVG.
 func plotOf(s reporter.Service) (template.HTML, error) {
+	if n := len(s.Windows); n == 0 || s.Windows[n-1].Total() == 0 {
+		return "<p>No requests in three days.</p>", nil
+	}
 	p := plot.New()
 	p.X.Label.Text = "time (UTC)"
 	p.Y.Label.Text = "burn"
 	p.Y.Min = 0
-	p.X.Tick.Marker = plot.TimeTicks{Format: "15:04"}
+	p.X.Tick.Marker = plot.TimeTicks{Ticker: plot.TickerFunc(clockTicks), Format: clockFormat}
 	p.Add(plotter.NewGrid())
 	if err := addBurn(p, s.Points); err != nil {
 		return "", drawing(err)
@@ -45,6 +65,25 @@
 	return template.HTML("<svg" + svg), nil      //nolint:gosec // All of its text is ours.
 }
 
+// clockFormat names a tick. It has the day, as the longest plot shows three.
+const clockFormat = "2 Jan 15:04"
+
+// tickCount is how many steps a plot has.
+const tickCount = 6
+
+// clockTicks puts ticks at whole steps of the clock.
+func clockTicks(from, to float64) []plot.Tick {
+	step := math.Ceil((to-from)/tickCount/clockStep) * clockStep
+	var ticks []plot.Tick
+	for at := math.Ceil(from/step) * step; at <= to; at += step {
+		ticks = append(ticks, plot.Tick{Value: at, Label: " "}) // TimeTicks names those with a label.
+	}
+	return ticks
+}
+
+// clockStep is the shortest step.
+const clockStep = 600 // seconds
+
 func drawing(err error) error {
 	return cowslipbend.Failf(cowslipbend.KindBroken, err, "ask for the report as text", "plot cannot be drawn")
 }
@@ -63,9 +102,8 @@
 		return err
 	}
 	l.StepStyle = plotter.PostStep
-	l.Color = color.NRGBA{R: 0x1f, G: 0x5f, B: 0xbf, A: 0xff}
-	l.Width = vg.Points(1.5)
-	l.FillColor = color.NRGBA{R: 0x1f, G: 0x5f, B: 0xbf, A: 0x30}
+	l.LineStyle = stroke(vg.Points(1.5), blue)
+	l.FillColor = shade //nolint:misspell // The library's name.
 	p.Add(l)
 	return nil
 }
@@ -78,8 +116,8 @@
 	f := plotter.NewFunction(func(float64) float64 { return 1 })
 	f.XMin, f.XMax = seconds(points[0].At), seconds(points[len(points)-1].At)
 	f.Samples = 2
+	f.LineStyle = stroke(vg.Points(1), red)
 	f.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
-	f.Color = color.NRGBA{R: 0xb3, G: 0x26, B: 0x1e, A: 0xff}
 	p.Add(f)
 }
 
