--- a/checker/decode_test.go
+++ b/checker/decode_test.go
@@ -39,6 +39,17 @@
 			assert.NilError(t, err)
 		})
 	}
+	jobs, err := fs.Glob(examples.Jobs, "jobs/*.yaml")
+	assert.NilError(t, err)
+	assert.Assert(t, len(jobs) > 0)
+	for _, name := range jobs {
+		t.Run(name, func(t *testing.T) {
+			data, err := fs.ReadFile(examples.Jobs, name)
+			assert.NilError(t, err)
+			_, err = DecodeJob(name, data)
+			assert.NilError(t, err)
+		})
+	}
 }
 
 const team = "kind: team\nname: closers\n"
--- a/examples/examples.go
+++ b/examples/examples.go
@@ -1,5 +1,5 @@
-// Package examples holds the declared sets of the two first firms. Tests and
-// the program stand use them.
+// Package examples holds the declared sets of the two first firms, and jobs
+// to submit to them. Tests and the program stand use them.
 package examples
 
 import "embed"
@@ -8,3 +8,8 @@
 //
 //go:embed fraser easement
 var Sets embed.FS
+
+// Jobs holds one job in each file.
+//
+//go:embed jobs
+var Jobs embed.FS
