--- a/stand/judge/event.go
+++ b/stand/judge/event.go
@@ -60,6 +60,8 @@
 	Life       string               `json:"l,omitempty"`
 	Checkpoint string               `json:"c,omitempty"`
 	Reason     string               `json:"r,omitempty"`
+	// CPU is the processor time of a finished task.
+	CPU cowslipbend.CPUTime `json:"u,omitempty"`
 }
 
 // Recorder takes events. Note never waits and never fails.
--- a/stand/load/batch.go
+++ b/stand/load/batch.go
@@ -133,10 +133,7 @@
 	if err != nil {
 		return
 	}
-	n := 0
-	for _, o := range Outcomes(jobs, b.Accepted()) {
-		n += o.Tasks - o.Finished - o.Parked - o.Cancelled
-	}
+	n := Open(jobs, b.Accepted())
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.open = n
@@ -240,6 +237,15 @@
 	return out
 }
 
+// Open counts the accepted tasks that are neither finished nor set aside.
+func Open(jobs []director.Job, accepted []Accepted) int {
+	n := 0
+	for _, o := range Outcomes(jobs, accepted) {
+		n += max(o.Tasks-o.Finished-o.Parked-o.Cancelled, 0)
+	}
+	return n
+}
+
 // factor is how far the truth is from what is declared.
 type factor struct{ cpu, mem, length float64 }
 
--- /dev/null
+++ b/stand/platform.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/internal/server"
+	"cowslipbend.dev/internal/starter"
+	"cowslipbend.dev/stand/judge"
+	"cowslipbend.dev/stand/platform"
+)
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "serve a table, objects and the judge; POST /fault switches faults",
+		Flags: []cli.Flag{
+			starter.String("listen", "127.0.0.1:7000", "IP:PORT to serve on"),
+			seedFlag(),
+			starter.String("log", "info", "level of the log"),
+		},
+		Action: runPlatform,
+	}
+}
+
+func seedFlag() cli.Flag {
+	return &cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of all randomness of the stand", Sources: starter.Env("seed")}
+}
+
+func runPlatform(ctx context.Context, c *cli.Command) error {
+	log, err := settings(c, "platform", server.CheckBind("--listen", c.String("listen"), ""))
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", platform.New(c.Uint64("seed")).Handler())
+	mux.Handle("/judge/", judge.New().Handler())
+	return serve(ctx, c.String("listen"), mux, log)
+}
+
+// settings returns the logger of a command, or all faults of its settings.
+func settings(c *cli.Command, name string, checks ...error) (hclog.Logger, error) {
+	var l cowslipbend.Errors
+	for _, err := range checks {
+		l.Add(err)
+	}
+	log, err := starter.Logger(name, c.String("log"), os.Stderr)
+	l.Add(err)
+	return log, l.Err()
+}
+
+// serve serves until the context ends, and then lets calls in flight finish.
+func serve(ctx context.Context, addr string, mux *http.ServeMux, log hclog.Logger) error {
+	server.Ops(mux, prometheus.NewRegistry(), func() error { return nil })
+	srv, err := server.Listen(addr, mux)
+	if err != nil {
+		return err
+	}
+	log.Info("serving", "url", srv.URL())
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(srv.Run)
+	g.Go(func() error {
+		<-ctx.Done()
+		grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout.Duration())
+		defer cancel()
+		srv.Shutdown(grace)
+		return nil
+	})
+	return g.Wait()
+}
+
+// shutdownTimeout bounds the calls in flight after SIGTERM.
+const shutdownTimeout = 2 * cowslipbend.Second
--- a/stand/platform/platform.go
+++ b/stand/platform/platform.go
@@ -29,14 +29,26 @@
 	return &Platform{Table: &keeper.Table{}, Objects: &keeper.Objects{}, faults: newFaults(seed)}
 }
 
+// Counts is how many reads and writes the table has taken.
+type Counts struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+}
+
 // SetFault replaces the fault.
 func (p *Platform) SetFault(f Fault) { p.faults.set(f) }
 
-// Handler returns the HTTP protocol, and POST /fault, which takes a Fault.
+// Handler returns the HTTP protocol, POST /fault, which takes a Fault, and GET
+// /counts.
 func (p *Platform) Handler() http.Handler {
 	all := http.NewServeMux()
 	all.Handle("/", p.faults.wrap(p.store()))
 	all.HandleFunc("POST /fault", p.takeFault)
+	all.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
+		var c Counts
+		c.Reads, c.Writes = p.Table.Counts()
+		reply(w, c, nil)
+	})
 	return all
 }
 
--- a/stand/try/result.go
+++ b/stand/reporter/result.go
@@ -1,9 +1,10 @@
-package try
+// Package reporter sums up what callers, batch and the judge saw in one line.
+package reporter
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
+	"sort"
 	"syscall"
 	"time"
 
@@ -54,54 +55,71 @@
 	Processors float64 `json:"processors"` // seconds of this whole process under load
 }
 
-// usage is what was used up to a moment.
-type usage struct {
-	at            time.Time
-	reads, writes int64
-	processor     float64
-	useful        float64
-	moment        judge.Moment
+// Usage is what was used up to a moment.
+type Usage struct {
+	At            judge.Moment
+	Reads, Writes int64
+	// Processor is the time that this process has used, Useful that which
+	// batch got and did not lose, both in seconds.
+	Processor float64
+	Useful    float64
 }
 
-func (s *System) usage() usage {
-	u := usage{at: time.Now(), processor: processorTime(), moment: judge.Now()}
-	u.reads, u.writes = s.platform.Table.Counts()
-	u.useful, _ = s.Progress()
-	return u
+// Input is what a result is made from.
+type Input struct {
+	Firm, Case, Policy, Routing, Guard, Only string
+	Seed                                     uint64
+	Tally                                    load.Tally
+	History                                  judge.History
+	Jobs                                     []director.Job
+	Accepted                                 []load.Accepted
+	Impossible                               int
+	Before, After                            Usage
+	// Spreads are the times that published sets took to be in force.
+	Spreads []time.Duration
 }
 
-func (p *player) sum(jobs []director.Job, before, after usage) Result {
-	o := p.opts
-	seconds := after.at.Sub(before.at).Seconds()
-	h := p.judge.Events()
-	accepted := p.batch.Accepted()
+// Sum returns the result.
+func Sum(in Input) Result {
+	seconds := time.Duration(in.After.At - in.Before.At).Seconds()
 	r := Result{
-		Firm: o.Firm, Case: o.Case, Policy: o.Policy, Routing: o.Routing, Guard: o.Guard, Only: o.Only, Seed: o.Seed,
-		Seconds: seconds, Tally: p.callers.Tally(), Verdict: h.Verdict(), Impossible: p.batch.Refused(),
-		CPUSeconds: after.useful - before.useful, Processors: after.processor - before.processor,
-		Reads: float64(after.reads-before.reads) / seconds, Writes: float64(after.writes-before.writes) / seconds,
+		Firm: in.Firm, Case: in.Case, Policy: in.Policy, Routing: in.Routing, Guard: in.Guard, Only: in.Only, Seed: in.Seed,
+		Seconds: seconds, Tally: in.Tally, Verdict: in.History.Verdict(), Impossible: in.Impossible,
+		CPUSeconds: in.After.Useful - in.Before.Useful, Processors: in.After.Processor - in.Before.Processor,
+		Reads: float64(in.After.Reads-in.Before.Reads) / seconds, Writes: float64(in.After.Writes-in.Before.Writes) / seconds,
+		SpreadP99: Quantile(in.Spreads, 0.99), Publishes: len(in.Spreads),
 	}
-	for _, f := range h.Faults() {
-		p.log.Error("an invariant is broken", "counter", f.Counter, "why", f.Why, "event", fmt.Sprintf("%+v", f.Event))
-	}
-	outcomes := load.Outcomes(jobs, accepted)
-	r.Lost = h.Lost(outcomes)
+	outcomes := load.Outcomes(in.Jobs, in.Accepted)
+	r.Lost = in.History.Lost(outcomes)
 	for _, out := range outcomes {
 		r.Submitted += out.Tasks
 		r.Parked += out.Parked
 		r.Cancelled += out.Cancelled
 	}
-	for _, j := range jobs {
+	for _, j := range in.Jobs {
 		if j.Batch() {
 			r.Evictions += j.Evictions
 		}
 	}
-	r.SpreadP99, r.Publishes = p.spreads.p99()
-	r.fromHistory(h, accepted)
-	r.Longest = longestGap(h, before.moment, after.moment)
+	r.fromHistory(in.History, in.Accepted)
+	r.Longest = longestGap(in.History, in.Before.At, in.After.At)
 	return r
 }
 
+// Quantile returns a quantile of the durations in milliseconds, 0 for none.
+func Quantile(list []time.Duration, q float64) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	sorted := append([]time.Duration(nil), list...)
+	sort.Slice(sorted, func(a, b int) bool { return sorted[a] < sorted[b] })
+	i := min(int(q*float64(len(sorted))), len(sorted)-1)
+	return float64(sorted[i].Microseconds()) / microsPerMilli
+}
+
+// microsPerMilli converts microseconds.
+const microsPerMilli = 1000
+
 // fromHistory fills in what the workers saw.
 func (r *Result) fromHistory(h judge.History, accepted []load.Accepted) {
 	for _, n := range h.FinishedByJob() {
@@ -114,7 +132,7 @@
 			delays = append(delays, time.Duration(at-a.Asked))
 		}
 	}
-	r.Urgent, r.UrgentP99 = len(delays), quantile(delays, 0.99)
+	r.Urgent, r.UrgentP99 = len(delays), Quantile(delays, 0.99)
 	r.attempts(h)
 }
 
@@ -160,8 +178,8 @@
 	return float64(max(longest, to-last)) / float64(time.Millisecond)
 }
 
-// processorTime returns the seconds that this process has used.
-func processorTime() float64 {
+// ProcessorTime returns the seconds that this process has used.
+func ProcessorTime() float64 {
 	var u syscall.Rusage
 	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
 		return 0
--- a/stand/try.go
+++ b/stand/try.go
@@ -24,7 +24,7 @@
 			starter.Span("cap", 0, "cap of leases that witnesses extend; 0 for the usual one"),
 			starter.String("only", "", "play services or batch alone"),
 			starter.Span("for", 0, "how long callers call; 0 for the case's own length"),
-			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of all randomness of the stand"},
+			seedFlag(),
 			starter.String("log", "error", "level of the log"),
 		},
 		Action: runTry,
@@ -51,11 +51,5 @@
 	if err != nil {
 		return err
 	}
-	if err := r.Write(os.Stdout); err != nil {
-		return err
-	}
-	if r.Broken() {
-		return cowslipbend.Fail(cowslipbend.KindBroken, "an invariant is broken", "run it again with --log debug and the same seed")
-	}
-	return nil
+	return finish(r)
 }
--- a/stand/try/spread.go
+++ b/stand/try/spread.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sort"
 	"sync"
 	"time"
 
@@ -68,20 +67,9 @@
 	}
 }
 
-// p99 returns the 99th percentile in milliseconds and the count.
-func (s *spreads) p99() (millis float64, n int) {
+// all returns the times so far.
+func (s *spreads) all() []time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return quantile(s.list, 0.99), len(s.list)
-}
-
-// quantile returns a quantile of the durations in milliseconds, 0 for none.
-func quantile(list []time.Duration, q float64) float64 {
-	if len(list) == 0 {
-		return 0
-	}
-	sorted := append([]time.Duration(nil), list...)
-	sort.Slice(sorted, func(a, b int) bool { return sorted[a] < sorted[b] })
-	i := min(int(q*float64(len(sorted))), len(sorted)-1)
-	return float64(sorted[i].Microseconds()) / 1000
+	return append([]time.Duration(nil), s.list...)
 }
--- a/stand/try/try.go
+++ b/stand/try/try.go
@@ -19,7 +19,9 @@
 	entry "cowslipbend.dev/entry/runner"
 	"cowslipbend.dev/operator"
 	"cowslipbend.dev/stand/firm"
+	"cowslipbend.dev/stand/judge"
 	"cowslipbend.dev/stand/load"
+	"cowslipbend.dev/stand/reporter"
 	"cowslipbend.dev/timer"
 )
 
@@ -91,24 +93,24 @@
 const opTimeout = 5 * cowslipbend.Second
 
 // Run runs one try.
-func Run(ctx context.Context, o Options) (Result, error) {
+func Run(ctx context.Context, o Options) (reporter.Result, error) {
 	if err := o.Check(); err != nil {
-		return Result{}, err
+		return reporter.Result{}, err
 	}
 	f, err := firm.Get(o.Firm)
 	if err != nil {
-		return Result{}, err
+		return reporter.Result{}, err
 	}
 	c, err := find(o.Case)
 	if err != nil {
-		return Result{}, err
+		return reporter.Result{}, err
 	}
 	if o.For == 0 {
 		o.For = c.Length
 	}
 	s, err := Start(ctx, o, f)
 	if err != nil {
-		return Result{}, err
+		return reporter.Result{}, err
 	}
 	r, err := s.try(ctx, c)
 	if stopErr := s.Stop(); err == nil {
@@ -118,7 +120,7 @@
 }
 
 // try publishes, plays the case, lets batch finish, and sums up.
-func (s *System) try(ctx context.Context, c scenario) (Result, error) {
+func (s *System) try(ctx context.Context, c scenario) (reporter.Result, error) {
 	balancer := load.NewBalancer(s.URLs(), timer.Host{})
 	callers := load.New(load.Usual(s.firm, s.opts.Seed), balancer, s.judge)
 	mix := load.Mix{Noisy: c.Noisy, Misdeclared: c.Misdeclared, Urgent: true}
@@ -127,11 +129,11 @@
 		System: s, callers: callers, batch: batch, balancer: balancer, scale: float64(s.opts.For) / float64(c.Length),
 	}
 	if err := s.prepare(ctx); err != nil {
-		return Result{}, err
+		return reporter.Result{}, err
 	}
 	before := s.usage()
 	if err := p.underLoad(ctx, c); err != nil {
-		return Result{}, err
+		return reporter.Result{}, err
 	}
 	after := s.usage()
 	jobs := p.settle(ctx)
@@ -244,7 +246,7 @@
 		jobs, err := operator.New(urls[i%len(urls)], "", opTimeout).Jobs(ctx, p.firm.Pool)
 		if err == nil {
 			last = jobs
-			if openTasks(jobs, p.batch.Accepted()) == 0 {
+			if load.Open(jobs, p.batch.Accepted()) == 0 {
 				return jobs
 			}
 		}
@@ -254,11 +256,22 @@
 	}
 }
 
-// openTasks counts the accepted tasks that are neither finished nor set aside.
-func openTasks(jobs []director.Job, accepted []load.Accepted) int {
-	n := 0
-	for _, o := range load.Outcomes(jobs, accepted) {
-		n += max(o.Tasks-o.Finished-o.Parked-o.Cancelled, 0)
+func (s *System) usage() reporter.Usage {
+	u := reporter.Usage{At: judge.Now(), Processor: reporter.ProcessorTime()}
+	u.Reads, u.Writes = s.platform.Table.Counts()
+	u.Useful, _ = s.Progress()
+	return u
+}
+
+func (p *player) sum(jobs []director.Job, before, after reporter.Usage) reporter.Result {
+	o := p.opts
+	h := p.judge.Events()
+	for _, f := range h.Faults() {
+		p.log.Error("an invariant is broken", "counter", f.Counter, "why", f.Why, "event", fmt.Sprintf("%+v", f.Event))
 	}
-	return n
+	return reporter.Sum(reporter.Input{
+		Firm: o.Firm, Case: o.Case, Policy: o.Policy, Routing: o.Routing, Guard: o.Guard, Only: o.Only, Seed: o.Seed,
+		Tally: p.callers.Tally(), History: h, Jobs: jobs, Accepted: p.batch.Accepted(), Impossible: p.batch.Refused(),
+		Before: before, After: after, Spreads: p.spreads.all(),
+	})
 }
--- a/stand/worker/model.go
+++ b/stand/worker/model.go
@@ -124,7 +124,9 @@
 	case t.work.Fail || w.fault.Fail:
 		w.end(t, cowslipbend.TaskStatus{Phase: cowslipbend.Queued, Failed: true, Reason: "task failed"})
 	case t.done >= t.work.Total:
-		w.judge.Note(w.event(judge.Finished, t))
+		e := w.event(judge.Finished, t)
+		e.CPU = t.work.Total
+		w.judge.Note(e)
 		w.finished += t.work.Total
 		w.end(t, cowslipbend.TaskStatus{Phase: cowslipbend.Finished})
 	}
