--- a/stand/load/batch.go
+++ b/stand/load/batch.go
@@ -255,10 +255,10 @@
 // drawFactors draws the errors of each class.
 func drawFactors(f firm.Firm, seed uint64) map[cowslipbend.Class]factor {
 	rnd := rand.New(rand.NewPCG(seed, 4))
-	off := func(most float64) float64 { return math.Pow(most, 2*rnd.Float64()-1) }
+	off := func() float64 { return math.Pow(maxFactor, 2*rnd.Float64()-1) }
 	return map[cowslipbend.Class]factor{
-		f.Usual.Class: {off(maxFactor), off(maxFactor), off(maxFactor)},
-		f.Noisy.Class: {off(maxFactor), off(maxFactor), off(maxFactor)},
+		f.Usual.Class: {off(), off(), off()},
+		f.Noisy.Class: {off(), off(), off()},
 	}
 }
 
--- a/stand/try/part.go
+++ b/stand/try/part.go
@@ -16,13 +16,3 @@
 	kill func()
 	done chan struct{}
 }
-
-// ended reports whether the part has stopped.
-func (p *part) ended() bool {
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
--- a/stand/try/player.go
+++ b/stand/try/player.go
@@ -200,16 +200,15 @@
 func (p *player) rollEntries(ctx context.Context) error {
 	for i := range p.entries {
 		old := p.part(p.entries, i)
-		if ctx.Err() != nil {
-			return nil
-		}
 		old.stop()
 		<-old.done
 		if err := p.StartEntry(i); err != nil {
 			return err
 		}
 		p.balancer.Set(p.URLs())
-		timer.Sleep(ctx, timer.Host{}, rollPause)
+		if !timer.Sleep(ctx, timer.Host{}, rollPause) {
+			break
+		}
 	}
 	return nil
 }
@@ -218,15 +217,14 @@
 func (p *player) rollAgents(ctx context.Context) error {
 	for i := range p.agents {
 		old := p.part(p.agents, i)
-		if ctx.Err() != nil {
-			return nil
-		}
 		old.stop()
 		<-old.done
 		if err := p.StartAgent(i); err != nil {
 			return err
 		}
-		timer.Sleep(ctx, timer.Host{}, rollPause)
+		if !timer.Sleep(ctx, timer.Host{}, rollPause) {
+			break
+		}
 	}
 	return nil
 }
