--- a/agent/main.go
+++ b/agent/main.go
@@ -10,6 +10,7 @@
 	"cowslipbend.dev"
 	"cowslipbend.dev/agent/runner"
 	"cowslipbend.dev/internal/starter"
+	"cowslipbend.dev/throttler"
 	"cowslipbend.dev/timer"
 )
 
@@ -33,6 +34,7 @@
 			starter.String("log", d.Log, "level of the log"),
 			starter.Span("beat", d.Beat, "time between heartbeats"),
 			starter.Span("poll", d.Poll, "time between looks at the worker"),
+			starter.String("guard", string(d.Guard), "how services are defended against batch: throttle, evict or off"),
 			starter.Span("drain", d.Drain, "time for requests in flight after SIGTERM"),
 		},
 		Before: starter.Defer,
@@ -47,7 +49,7 @@
 		Listen: c.String("listen"), Local: c.String("local"), Worker: c.String("worker"),
 		Entries: c.StringSlice("entry"), Secret: c.String("secret"), Log: c.String("log"),
 		Beat: cowslipbend.SpanOf(c.Duration("beat")), Poll: cowslipbend.SpanOf(c.Duration("poll")),
-		Drain: cowslipbend.SpanOf(c.Duration("drain")),
+		Drain: cowslipbend.SpanOf(c.Duration("drain")), Guard: throttler.Mode(c.String("guard")),
 	}
 	log, err := starter.Logger("agent", s.Log, os.Stderr)
 	if err := starter.Faults(c, s.Check(), err); err != nil {
--- a/agent/runner/run.go
+++ b/agent/runner/run.go
@@ -20,6 +20,7 @@
 	"cowslipbend.dev/publisher"
 	"cowslipbend.dev/registrar"
 	"cowslipbend.dev/tasker"
+	"cowslipbend.dev/throttler"
 	"cowslipbend.dev/timer"
 )
 
@@ -45,6 +46,7 @@
 	forward  *forwarder.Forwarder
 	beats    *beater.Beater
 	metrics  *prometheus.Registry
+	guard    *throttler.Guard
 	main     *server.Server
 	local    *server.Server
 	killed   chan struct{}
@@ -66,6 +68,9 @@
 		return nil, err
 	}
 	a := &Agent{settings: s, clock: clock, log: log, life: cowslipbend.Incarnation(cowslipbend.DrawID()), killed: make(chan struct{})}
+	guard := throttler.Defaults()
+	guard.Mode = s.Guard
+	a.guard = throttler.New(guard)
 	opts := gater.Defaults()
 	a.gate = gater.New(a.life, clock, opts)
 	a.machine = executor.New(s.Worker, workerTimeout)
@@ -149,7 +154,9 @@
 	a.gate.Sweep(silence)
 	if err := a.tasks.Poll(ctx); err != nil {
 		a.log.Debug("worker does not answer", "error", err)
+		return nil
 	}
+	a.protect(ctx)
 	return nil
 }
 
--- a/agent/runner/settings.go
+++ b/agent/runner/settings.go
@@ -5,6 +5,7 @@
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/internal/server"
+	"cowslipbend.dev/throttler"
 )
 
 // Settings are all that an agent is told.
@@ -28,6 +29,8 @@
 	Drain cowslipbend.Span
 	// Wrap lets tests and the stand play faults of the network.
 	Wrap server.Wrap
+	// Guard is how services are defended against batch.
+	Guard throttler.Mode
 }
 
 // Defaults returns the settings of a usual agent.
@@ -36,6 +39,7 @@
 		Listen: "127.0.0.1:7100", Local: "127.0.0.1:7101", Worker: "http://127.0.0.1:7102",
 		Entries: []string{"http://127.0.0.1:7001"}, Log: "info",
 		Beat: cowslipbend.Second, Poll: cowslipbend.Second / 4, Drain: cowslipbend.Minute,
+		Guard: throttler.Throttle,
 	}
 }
 
@@ -61,6 +65,8 @@
 	if s.Poll < 10*cowslipbend.Millisecond || s.Poll > 10*cowslipbend.Second {
 		l.Add(cowslipbend.Invalid("--poll", s.Poll.String()+" is out of bounds", "give 10ms to 10s"))
 	}
+	guard := throttler.Options{Mode: s.Guard}
+	l.Add(guard.Check("--guard"))
 	if s.Drain < 0 {
 		l.Add(cowslipbend.Invalid("--drain", "is below zero", "give a time such as 60s"))
 	}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -61,12 +61,13 @@
 	lapse cowslipbend.Time
 	// strays lists attempts that run where the journal does not have them.
 	strays []Ref
-	sent   map[cowslipbend.TaskID]cowslipbend.Time
+	// sent is when an order about an attempt was last sent.
+	sent map[Ref]cowslipbend.Time
 	past   history
 }
 
 func newSeen(at, lapse cowslipbend.Time) *seen {
-	return &seen{at: at, lapse: lapse, sent: map[cowslipbend.TaskID]cowslipbend.Time{}}
+	return &seen{at: at, lapse: lapse, sent: map[Ref]cowslipbend.Time{}}
 }
 
 // Engine decides for one pool. It is not safe for concurrent use, reads no
@@ -81,6 +82,8 @@
 	// safe is when every lease of earlier owners has lapsed.
 	safe     cowslipbend.Time
 	set      *cowslipbend.Set
+	// declared lists the declared jobs that are to be submitted.
+	declared []*cowslipbend.Job
 	headroom int // percent
 	health   *health
 	evicting *evicting
@@ -128,7 +131,7 @@
 // forget drops what is remembered of a task's orders before it changes.
 func (e *Engine) forget(t *journaler.Task) {
 	if s, ok := e.seen[t.Worker]; ok {
-		delete(s.sent, t.ID)
+		delete(s.sent, Ref{t.ID, t.Attempt})
 	}
 	delete(e.evicting.intents, t.ID)
 }
@@ -144,6 +147,12 @@
 	e.set = set
 	e.index.queue.Declare(set.Teams)
 	e.headroom = 0
+	e.declared = nil
+	for i := range set.Jobs {
+		if set.Jobs[i].Pool == e.pool {
+			e.declared = append(e.declared, &set.Jobs[i])
+		}
+	}
 	for i := range set.Pools {
 		if set.Pools[i].Name == e.pool {
 			e.headroom = set.Pools[i].Spare
@@ -297,12 +306,26 @@
 	recs := e.lost(now, wall)
 	recs = append(recs, e.quarantine(wall)...)
 	recs = append(recs, e.services(wall)...)
+	recs = append(recs, e.submitDeclared(wall)...)
 	e.refresh(now)
 	recs = append(recs, e.assign(now, wall, recs)...)
 	e.empty(now)
 	return recs
 }
 
+// submitDeclared returns the records of declared jobs that are not known. A
+// known id is never run again, whatever its declaration says now.
+func (e *Engine) submitDeclared(wall cowslipbend.Time) []cowslipbend.Record {
+	var recs []cowslipbend.Record
+	for _, job := range e.declared {
+		if _, known := e.state.Jobs[job.ID]; !known {
+			recs = append(recs, cowslipbend.Record{Kind: cowslipbend.RecSubmitted, Job: job, At: wall})
+		}
+	}
+	e.declared = nil
+	return recs
+}
+
 // lost returns the workers that are silent and whose leases have lapsed.
 func (e *Engine) lost(now, wall cowslipbend.Time) []cowslipbend.Record {
 	var recs []cowslipbend.Record
--- a/scheduler/measure.go
+++ b/scheduler/measure.go
@@ -38,6 +38,11 @@
 func (e *Engine) measure(s *seen, b *Beat, now cowslipbend.Time) {
 	var strays, excess cowslipbend.Resources
 	var mix cowslipbend.Host
+	for _, r := range s.strays {
+		if !lists(b.Running, r) {
+			delete(s.sent, r)
+		}
+	}
 	s.strays = s.strays[:0]
 	for i := range b.Running {
 		r := &b.Running[i]
@@ -69,6 +74,15 @@
 	}
 }
 
+func lists(running []cowslipbend.TaskStatus, r Ref) bool {
+	for i := range running {
+		if running[i].Task == r.Task && running[i].Attempt == r.Attempt {
+			return true
+		}
+	}
+	return false
+}
+
 func used(r *cowslipbend.TaskStatus, job *cowslipbend.Job) cowslipbend.Millicores {
 	if r.Usage.CPU > 0 {
 		return r.Usage.CPU
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -36,7 +36,7 @@
 	}
 	for _, t := range e.index.pending {
 		s := e.seen[t.Worker]
-		if s == nil || !s.due(t.ID, now, e.opts.Resend) {
+		if s == nil || !s.due(Ref{t.ID, t.Attempt}, now, e.opts.Resend) {
 			continue
 		}
 		o := at(t.Worker)
@@ -47,7 +47,7 @@
 		o.Starts = append(o.Starts, e.start(t, epoch))
 	}
 	for _, i := range e.evicting.intents {
-		if s := e.seen[i.worker]; s != nil && s.due(i.task, now, e.opts.Resend) {
+		if s := e.seen[i.worker]; s != nil && s.due(Ref{i.task, i.attempt}, now, e.opts.Resend) {
 			at(i.worker).Evicts = append(at(i.worker).Evicts, Ref{i.task, i.attempt})
 		}
 	}
@@ -66,12 +66,12 @@
 	}
 }
 
-// due reports whether an order for the task may be sent now, and notes it.
-func (s *seen) due(task cowslipbend.TaskID, now cowslipbend.Time, resend cowslipbend.Span) bool {
-	if last, ok := s.sent[task]; ok && now.Sub(last) < resend {
+// due reports whether an order about the attempt may be sent now, and notes it.
+func (s *seen) due(r Ref, now cowslipbend.Time, resend cowslipbend.Span) bool {
+	if last, ok := s.sent[r]; ok && now.Sub(last) < resend {
 		return false
 	}
-	s.sent[task] = now
+	s.sent[r] = now
 	return true
 }
 
@@ -85,7 +85,7 @@
 			if t, known := e.state.Tasks[r.Task]; known && t.Worker == worker && t.Attempt == r.Attempt {
 				continue
 			}
-			if s.due(r.Task, now, e.opts.Resend) {
+			if s.due(r, now, e.opts.Resend) {
 				at(worker).Stops = append(at(worker).Stops, r)
 			}
 		}
