--- a/placer/guarded.go
+++ b/placer/guarded.go
@@ -76,10 +76,11 @@
 	if ask.Service == "" && len(hosts) > maxScored {
 		start = int(hash(ask.Task) % uint32(len(hosts)))
 	}
+	refuge := s.refuge(hosts, start)
 	best, least, scored := -1, 0.0, 0
 	for n := range hosts {
 		i := (start + n) % len(hosts)
-		if !g.fits(hosts[i], &ask) {
+		if !g.fits(hosts[i], &ask) || refuge.bars(hosts[i]) {
 			continue
 		}
 		if score := s.score(hosts[i]); best < 0 || score < least {
--- a/placer/score.go
+++ b/placer/score.go
@@ -7,6 +7,8 @@
 const (
 	// tolerance is the slow-down at which a replica counts as half slow.
 	tolerance = 0.1
+	// harmless is the part of the tolerance below which a task harms nobody.
+	harmless = 0.3
 	// gradient keeps slow replicas from becoming slower without need.
 	gradient = 0.02
 	// loadWeight prefers idle hosts for services, packWeight full ones for
@@ -14,6 +16,8 @@
 	loadWeight = 0.1
 	packWeight = 0.05
 	skewWeight = 0.05
+	// roomWeight keeps the room beside slow replicas for harmful work.
+	roomWeight = 0.3
 	// Weights of another replica of the service in the same place.
 	sameHost   = 10.0
 	sameRack   = 1.0
@@ -67,8 +71,11 @@
 			continue
 		}
 		before := s.strain(h, l.Class)
-		after := before + s.harm(l.Class, s.ask.Class)*cores(s.ask.Size.CPU)
-		sum += float64(l.Tasks) * (slowness(after) - slowness(before))
+		more := s.harm(l.Class, s.ask.Class) * cores(s.ask.Size.CPU)
+		sum += float64(l.Tasks) * (slowness(before+more) - slowness(before))
+		if more < harmless*tolerance {
+			sum += float64(l.Tasks) * roomWeight * slowness(before)
+		}
 	}
 	return sum
 }
--- a/placer/sizes.go
+++ b/placer/sizes.go
@@ -29,7 +29,8 @@
 
 // sizing is what the tasks of a class or a job were measured to use.
 type sizing struct {
-	cpu    [buckets]float64
+	cpu    [buckets]float64 // weights of the samples
+	sum    [buckets]float64 // weighted millicores
 	weight float64
 	peak   float64 // bytes
 }
@@ -41,9 +42,12 @@
 	}
 	for i := range s.cpu {
 		s.cpu[i] *= fade
+		s.sum[i] *= fade
 	}
 	s.weight = s.weight*fade + 1
-	s.cpu[bucket(float64(u.CPU))]++
+	i := bucket(float64(u.CPU))
+	s.cpu[i]++
+	s.sum[i] += float64(u.CPU)
 }
 
 func bucket(cpu float64) int {
@@ -55,10 +59,10 @@
 
 // high returns the quantile of the processors used, in millicores.
 func (s *sizing) high() float64 {
-	sum := 0.0
+	below := 0.0
 	for i, w := range s.cpu {
-		if sum += w; sum >= quantile*s.weight {
-			return firstBucket * math.Pow(growth, float64(i))
+		if below += w; below >= quantile*s.weight && w > 0 {
+			return s.sum[i] / w
 		}
 	}
 	return 0
--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -16,8 +16,8 @@
 	starts    int
 	// taken undoes the reservations of the pass, which the records make anew.
 	taken []func()
-	// full lists sizes that no host had room for in this pass.
-	full      map[queuer.Tier][]cowslipbend.Resources
+	// full lists sizes that no host took in this pass.
+	full      map[kind][]cowslipbend.Resources
 	cancelled map[cowslipbend.JobID]bool
 	// fresh counts the searches for victims in this pass.
 	fresh int
@@ -25,10 +25,19 @@
 	suspects []*cowslipbend.Host
 }
 
+// kind is what a policy may treat alike: that a policy refused a task tells
+// nothing of one of another kind. Without a class it stands for all classes.
+type kind struct {
+	tier  queuer.Tier
+	class cowslipbend.Class
+}
+
+func kindOf(job *cowslipbend.Job) kind { return kind{queuer.TierOf(job), job.Class} }
+
 // assign places queued tasks in the order of the queue, but for those that the
 // earlier records of the same decision cancel.
 func (e *Engine) assign(now, wall cowslipbend.Time, earlier []cowslipbend.Record) []cowslipbend.Record {
-	a := &assigning{Engine: e, now: now, wall: wall, full: map[queuer.Tier][]cowslipbend.Resources{}, cancelled: map[cowslipbend.JobID]bool{}}
+	a := &assigning{Engine: e, now: now, wall: wall, full: map[kind][]cowslipbend.Resources{}, cancelled: map[cowslipbend.JobID]bool{}}
 	for i := range earlier {
 		for _, id := range earlier[i].Jobs {
 			a.cancelled[id] = true
@@ -70,8 +79,11 @@
 	i := a.policy.Place(a.index.hosts, ask)
 	if i < 0 {
 		if len(t.Failed) == 0 && ask.Holder == "" {
-			tier := queuer.TierOf(job)
-			a.full[tier] = append(a.full[tier], ask.Size)
+			k := kindOf(job)
+			if !a.room(&ask) {
+				k.class = ""
+			}
+			a.full[k] = append(a.full[k], ask.Size)
 		}
 		return none, a.blocked(t, job, ask)
 	}
@@ -103,9 +115,15 @@
 	return false
 }
 
-// isFull reports whether no host had room for as much or less in this pass.
+// isFull reports whether no host took as much or less of the kind in this
+// pass, or had room for it.
 func (a *assigning) isFull(job *cowslipbend.Job, size cowslipbend.Resources) bool {
-	for _, s := range a.full[queuer.TierOf(job)] {
+	k := kindOf(job)
+	return within(a.full[k], size) || within(a.full[kind{tier: k.tier}], size)
+}
+
+func within(full []cowslipbend.Resources, size cowslipbend.Resources) bool {
+	for _, s := range full {
 		if s.Fits(size) {
 			return true
 		}
@@ -113,6 +131,17 @@
 	return false
 }
 
+// room reports whether a host that takes tasks has room, whatever a policy
+// holds against it.
+func (a *assigning) room(ask *cowslipbend.Ask) bool {
+	for _, h := range a.index.hosts {
+		if h.Usable && ask.Size.Fits(h.Room(ask)) {
+			return true
+		}
+	}
+	return false
+}
+
 // put records the assignment and takes the room for the rest of the pass.
 func (a *assigning) put(h *cowslipbend.Host, t *journaler.Task, job *cowslipbend.Job, size cowslipbend.Resources) {
 	take(h, job, size, 1)
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -63,7 +63,7 @@
 	strays []Ref
 	// sent is when an order about an attempt was last sent.
 	sent map[Ref]cowslipbend.Time
-	past   history
+	past history
 }
 
 func newSeen(at, lapse cowslipbend.Time) *seen {
@@ -80,8 +80,8 @@
 	seen   map[cowslipbend.WorkerID]*seen
 	index  *index
 	// safe is when every lease of earlier owners has lapsed.
-	safe     cowslipbend.Time
-	set      *cowslipbend.Set
+	safe cowslipbend.Time
+	set  *cowslipbend.Set
 	// declared lists the declared jobs that are to be submitted.
 	declared []*cowslipbend.Job
 	headroom int // percent
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/crc32"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -95,7 +96,11 @@
 	bad := job("bad", 6, cowslipbend.Core)
 	bad.Class = "broken"
 	f.submit(bad)
-	for i := range 20 {
+	f.steps(12 * second)
+	for _, w := range f.workers {
+		assert.Equal(t, f.condition(w.spec.ID), journaler.Fit)
+	}
+	for i := range 8 {
 		f.submit(job(fmt.Sprint("good-", i), 4, cowslipbend.Core))
 		f.steps(second)
 	}
@@ -164,7 +169,12 @@
 // one.
 func TestLargeTask(t *testing.T) {
 	f := smallFleet(t, 4)
-	f.ends = finishAfter(3 * second)
+	age := map[Ref]int{}
+	f.ends = func(_ *fakeWorker, s *cowslipbend.TaskStatus) bool {
+		r := Ref{s.Task, s.Attempt}
+		age[r]++
+		return age[r] >= 3*second+int(crc32.ChecksumIEEE([]byte(s.Task))%uint32(6*second)) && finish(s)
+	}
 	feed := func(n int) {
 		for i := range n {
 			f.submit(job(fmt.Sprint("small-", f.now, "-", i), 12, 2*cowslipbend.Core))
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -37,6 +39,13 @@
 	reports []cowslipbend.TaskStatus
 }
 
+// list returns the attempts in the order of their tasks.
+func (w *fakeWorker) list() []*cowslipbend.TaskStatus {
+	list := slices.Collect(maps.Values(w.tasks))
+	slices.SortFunc(list, func(a, b *cowslipbend.TaskStatus) int { return strings.Compare(string(a.Task), string(b.Task)) })
+	return list
+}
+
 func newFleet(t assert.TestingT, n int, size cowslipbend.Resources, policy cowslipbend.Placement, opts Options) *fleet {
 	f := &fleet{
 		t: t, engine: NewEngine(testPool, journaler.NewState(), policy, opts, 0),
@@ -94,9 +103,9 @@
 func (f *fleet) step() {
 	f.now = f.now.Add(stepLength)
 	for _, w := range f.workers {
-		for id, s := range w.tasks {
+		for _, s := range w.list() {
 			if f.ends(w, s) {
-				delete(w.tasks, id)
+				delete(w.tasks, s.Task)
 				w.reports = append(w.reports, *s)
 			}
 		}
@@ -105,8 +114,11 @@
 		}
 	}
 	f.apply(f.engine.Decide(f.now, f.now))
-	for id, o := range f.engine.Orders(f.now, 1) {
-		f.worker(id).take(o)
+	orders := f.engine.Orders(f.now, 1)
+	for _, w := range f.workers {
+		if o := orders[w.spec.ID]; o != nil {
+			w.take(o)
+		}
 	}
 	f.check()
 }
@@ -120,7 +132,7 @@
 func (f *fleet) beat(w *fakeWorker) {
 	b := Beat{Worker: w.spec, Leaving: w.leaving, Reports: w.reports, Lapse: f.now.Add(2 * cowslipbend.Second)}
 	w.reports = nil
-	for _, s := range w.tasks {
+	for _, s := range w.list() {
 		b.Running = append(b.Running, *s)
 	}
 	f.apply(f.engine.Beat(b, f.now, f.now))
--- a/scheduler/index.go
+++ b/scheduler/index.go
@@ -84,6 +84,7 @@
 		for _, t := range x.on[r.WorkerID] {
 			list = append(list, t)
 		}
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	default:
 		if t, ok := state.Tasks[r.Task]; ok {
 			list = append(list, t)
--- a/scheduler/property_test.go
+++ b/scheduler/property_test.go
@@ -30,7 +30,7 @@
 func (w *world) endOne(t *rapid.T) {
 	how := rapid.IntRange(0, 2).Draw(t, "how")
 	fake := w.any(t)
-	for _, s := range fake.tasks {
+	for _, s := range fake.list() {
 		if s.Service != "" {
 			continue
 		}
--- a/throttler/guard.go
+++ b/throttler/guard.go
@@ -99,9 +99,10 @@
 	levels map[cowslipbend.TaskID]level
 	past   past
 	// acted is the time of the last action, counted that of the last
-	// measurement that was taken in.
+	// measurement that was judged, learned that of the last learned from.
 	acted   cowslipbend.Time
 	counted cowslipbend.Time
+	learned cowslipbend.Time
 	calm    int
 	bad     int
 	evicted cowslipbend.Time
@@ -208,7 +209,7 @@
 // lowered any.
 func (g *Guard) lower(v *view, pressure int) bool {
 	lowered := false
-	for _, c := range g.blamed(v) {
+	for _, c := range g.blamed(v, true) {
 		for _, s := range v.batch {
 			if p := g.percent(s); s.Class == c && p > g.opts.Floor {
 				g.levels[s.Task] = level{s.Attempt, s.Class, max(g.opts.Floor, p/2)}
@@ -266,7 +267,7 @@
 	if g.bad < need || g.evicted > 0 && now.Sub(g.evicted) < g.opts.Evict {
 		return Action{}, false
 	}
-	for _, c := range g.blamed(v) {
+	for _, c := range g.blamed(v, false) {
 		for _, s := range v.batch {
 			if _, lately := g.jobs[jobOf(s.Task)]; s.Class == c && !lately {
 				return g.evictNow(s, "a service beside it is late", now), true
@@ -307,7 +308,7 @@
 
 // ranked returns the classes of batch on the worker, the most harmful first.
 func (g *Guard) ranked(v *view) []cowslipbend.Class {
-	strain := g.strains(v)
+	strain := g.strains(v, true)
 	classes := make([]cowslipbend.Class, 0, len(strain))
 	for c := range strain {
 		classes = append(classes, c)
--- a/throttler/view.go
+++ b/throttler/view.go
@@ -63,8 +63,10 @@
 // add remembers what runs at a look.
 func (p past) add(at cowslipbend.Time, v *view) past {
 	var h cowslipbend.Host
-	for _, s := range v.byID {
-		h.Change(s.Class, 1, s.Usage.CPU)
+	for _, list := range [][]*cowslipbend.TaskStatus{v.services, v.batch} {
+		for _, s := range list {
+			h.Change(s.Class, 1, s.Usage.CPU)
+		}
 	}
 	if len(p) == maxPast {
 		copy(p, p[1:])
@@ -87,21 +89,29 @@
 // measured.
 func (g *Guard) learn(v *view, now cowslipbend.Time) {
 	g.past = g.past.add(now, v)
+	newest := g.learned
 	for _, s := range v.services {
-		if s.Measured <= g.counted || s.Served < g.opts.Served {
+		if s.Measured <= g.learned || s.Served < g.opts.Served {
 			continue
 		}
 		g.harm.Learn(cowslipbend.Sample{
 			Task: s.Task, Class: s.Class, Service: s.Service, Tail: s.Tail, Served: s.Served,
 			Beside: g.past.then(s.Measured), At: s.Measured,
 		})
+		newest = max(newest, s.Measured)
 	}
+	g.learned = newest
 }
 
-// strains returns the predicted slow-down of services by each class of batch.
-func (g *Guard) strains(v *view) map[cowslipbend.Class]float64 {
+// strains returns the predicted slow-down of services by each class of batch,
+// as it is throttled now or as it would be unthrottled.
+func (g *Guard) strains(v *view, free bool) map[cowslipbend.Class]float64 {
 	used := map[cowslipbend.Class]cowslipbend.Millicores{}
 	for _, s := range v.batch {
+		if free {
+			used[s.Class] += unthrottled(s)
+			continue
+		}
 		used[s.Class] += s.Usage.CPU
 	}
 	out := map[cowslipbend.Class]float64{}
@@ -114,19 +124,29 @@
 	return out
 }
 
-// blamed returns the classes that are predicted to slow services noticeably,
-// the most harmful first. If batch as a whole hardly slows them, it is not
-// what makes them late, and nobody is blamed.
-func (g *Guard) blamed(v *view) []cowslipbend.Class {
-	strain := g.strains(v)
+// unthrottled returns the processors that the task would use.
+func unthrottled(s *cowslipbend.TaskStatus) cowslipbend.Millicores {
+	if s.Percent <= 0 {
+		return s.Usage.CPU
+	}
+	return s.Usage.CPU * whole / cowslipbend.Millicores(s.Percent)
+}
+
+// blamed returns the classes of batch, the most harmful first. If batch as a
+// whole hardly slows services, it is not what makes them late, and nobody is
+// blamed. To throttle, it counts what batch would do unthrottled; to evict,
+// only what it still does.
+func (g *Guard) blamed(v *view, free bool) []cowslipbend.Class {
+	strain := g.strains(v, free)
+	ranked := g.ranked(v)
 	sum := 0.0
-	for _, s := range strain {
-		sum += s
+	for _, c := range ranked {
+		sum += strain[c]
 	}
 	if sum*whole < float64(g.opts.Blame) && !v.crowded() {
 		return nil
 	}
-	return g.ranked(v)
+	return ranked
 }
 
 // crowded reports whether the tasks use all processors of the worker, so that
@@ -155,10 +175,7 @@
 		used = used.Plus(s.Usage)
 	}
 	for _, s := range v.batch {
-		want := s.Usage.CPU
-		if s.Percent > 0 {
-			want = want * whole / cowslipbend.Millicores(s.Percent)
-		}
+		want := unthrottled(s)
 		if used.CPU > v.size.CPU*(whole-generous)/whole && want > s.Size.CPU*(whole+generous)/whole {
 			v.limits[s.Task] = max(g.opts.Floor, int(s.Size.CPU*whole/want))
 		}
