--- /dev/null
+++ b/stand/try/try_test.go
@@ -0,0 +1,39 @@
+package try_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/stand/judge"
+	"cowslipbend.dev/stand/try"
+)
+
+func options(name string) try.Options {
+	return try.Options{
+		Firm: "fraser", Case: name, Policy: "guarded", For: 3 * cowslipbend.Second, Seed: 1, Log: hclog.NewNullLogger(),
+	}
+}
+
+func TestRun(t *testing.T) {
+	t.Run("nothing is broken and accepted work finishes", func(t *testing.T) {
+		r, err := try.Run(context.Background(), options("quiet"))
+		assert.NilError(t, err)
+		assert.Equal(t, r.Verdict, judge.Verdict{})
+		assert.Assert(t, r.Ran > 0)
+		assert.Assert(t, r.Submitted > 0)
+		assert.Assert(t, r.Finished >= r.Submitted)
+	})
+}
+
+func TestCheck(t *testing.T) {
+	t.Run("all faults at once", func(t *testing.T) {
+		o := try.Options{Firm: "x", Case: "y", Policy: "z", Only: "w", For: -1, Cap: -1}
+		for _, want := range []string{"--firm", "--case", "--policy", "--only", "--for", "--cap"} {
+			assert.ErrorContains(t, o.Check(), want)
+		}
+	})
+}
