--- a/cowslip/session_test.go
+++ b/cowslip/session_test.go
@@ -7,9 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/internal/server"
 )
 
 // TestSessions runs the archives in testdata/sessions, each against a system
@@ -171,12 +175,12 @@
 	ts.Fatalf("%q did not come; last seen:\n%s%s", args[0], last.out, last.errs)
 }
 
-// store takes the store out or brings it back: store down|up.
+// store sets the mode of the store: store up|down|mute|cut.
 func store(ts *testscript.TestScript, neg bool, args []string) {
-	if neg || len(args) != 1 || (args[0] != "down" && args[0] != "up") {
-		ts.Fatalf("usage: store down|up")
+	if neg || len(args) != 1 || !slices.Contains([]string{up, down, mute, cut}, args[0]) {
+		ts.Fatalf("usage: store up|down|mute|cut")
 	}
-	systemOf(ts).out.Store(args[0] == "down")
+	systemOf(ts).mode.Store(args[0])
 }
 
 func TestExitCodes(t *testing.T) {
@@ -200,4 +204,34 @@
 		assert.Equal(t, code, 2)
 		assert.Assert(t, strings.Contains(errs, "cowslip status --help"), errs)
 	})
+	t.Run("a wrong secret is denied", func(t *testing.T) {
+		srv := httptest.NewServer(server.Guard("right", http.NotFoundHandler()))
+		defer srv.Close()
+		code, errs := run("--entry", srv.URL, "--secret", "wrong", "status")
+		assert.Equal(t, code, 1)
+		assert.Assert(t, strings.Contains(errs, "wrong or missing secret"), errs)
+	})
+	t.Run("a call goes to the next entry if the first cannot be reached", func(t *testing.T) {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"entry":"e9"}`) }))
+		defer srv.Close()
+		code, errs := run("--entry", "http://127.0.0.1:1", "--entry", srv.URL, "status")
+		assert.Equal(t, code, 0, errs)
+	})
+	t.Run("a write without an answer is unknown and goes nowhere else", func(t *testing.T) {
+		var calls atomic.Int64
+		h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				_, _ = io.WriteString(w, `{"set":{"pools":[{"name":"p"}]}}`)
+				return
+			}
+			calls.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+		one, two := httptest.NewServer(h), httptest.NewServer(h)
+		defer one.Close()
+		defer two.Close()
+		code, errs := run("--entry", one.URL, "--entry", two.URL, "drain", "w1")
+		assert.Equal(t, code, 3, errs)
+		assert.Equal(t, calls.Load(), int64(1))
+	})
 }
--- a/cowslip/status.go
+++ b/cowslip/status.go
@@ -3,22 +3,33 @@
 import (
 	"context"
 	"fmt"
+	"io"
 
 	"github.com/urfave/cli/v3"
 
+	"cowslipbend.dev"
 	"cowslipbend.dev/director"
+	"cowslipbend.dev/journaler"
 )
 
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "status",
-		Usage:       "show processes, pools and the revision in force",
-		Description: "Shows what the entry that answers knows of the others.",
+		Usage:       "show processes, pools, workers and the revision in force",
+		Description: "Shows what the entry that answers knows of the others, and what the owners\nof the pools know of their workers.",
 		Flags:       []cli.Flag{jsonFlag()},
 		Action:      status,
 	}
 }
 
+// overview is what status shows.
+type overview struct {
+	director.Status
+	Workers []director.Worker `json:"workers"`
+	// Missing names the pools whose workers could not be listed.
+	Missing []string `json:"missing,omitempty"`
+}
+
 func status(ctx context.Context, c *cli.Command) error {
 	op, err := client(c)
 	if err != nil {
@@ -28,33 +39,73 @@
 	if err != nil {
 		return err
 	}
-	out := c.Root().Writer
-	if c.Bool("json") {
-		return writeJSON(out, s)
-	}
-	fmt.Fprintf(out, "revision %d, seen from entry %s\n\n", s.Revision, s.Entry)
-	pools := newTable(out, "POOL", "OWNER", "EPOCH")
+	o := overview{Status: s, Workers: []director.Worker{}}
 	for _, p := range s.Pools {
-		owner := string(p.Owner)
-		if owner == "" {
-			owner = "-"
+		list, err := op.Workers(ctx, p.Name)
+		if err != nil {
+			o.Missing = append(o.Missing, fmt.Sprintf("pool %s: %v", p.Name, err))
+			continue
 		}
-		pools.row(string(p.Name), owner, fmt.Sprint(p.Epoch))
+		o.Workers = append(o.Workers, list...)
 	}
-	if err := pools.flush(); err != nil {
-		return err
+	if c.Bool("json") {
+		return writeJSON(c.Root().Writer, o)
+	}
+	return o.write(c.Root().Writer)
+}
+
+func (o overview) write(w io.Writer) error {
+	fmt.Fprintf(w, "revision %d, seen from entry %s\n\n", o.Revision, o.Entry)
+	processes := newTable(w, "ROLE", "ID", "DOMAIN", "REVISION", "STATE")
+	for _, p := range o.Processes {
+		processes.row(p.Role, p.ID, string(p.Domain), fmt.Sprint(p.Revision), stateOf(p))
+	}
+	pools := newTable(w, "POOL", "OWNER", "EPOCH")
+	for _, p := range o.Pools {
+		pools.row(string(p.Name), orDash(string(p.Owner)), fmt.Sprint(p.Epoch))
+	}
+	workers := newTable(w, "WORKER", "POOL", "RACK", "STATE", "TASKS", "CORES", "MEMORY")
+	for _, k := range o.Workers {
+		workers.row(string(k.ID), string(k.Pool), string(k.Rack), condition(k), fmt.Sprint(k.Tasks),
+			fmt.Sprintf("%s/%s", cores(k.Held.CPU), cores(k.Size.CPU)),
+			fmt.Sprintf("%s/%s", bytesText(k.Held.Mem), bytesText(k.Size.Mem)))
 	}
-	fmt.Fprintln(out)
-	processes := newTable(out, "ROLE", "ID", "DOMAIN", "REVISION", "STATE")
-	for _, p := range s.Processes {
-		processes.row(p.Role, p.ID, string(p.Domain), fmt.Sprint(p.Revision), state(p))
+	for i, t := range []*table{processes, pools, workers} {
+		if i > 0 {
+			fmt.Fprintln(w)
+		}
+		if err := t.flush(); err != nil {
+			return err
+		}
+	}
+	for _, m := range o.Missing {
+		fmt.Fprintf(w, "workers of %s\n", m)
 	}
-	return processes.flush()
+	return nil
 }
 
-func state(p director.Process) string {
+func stateOf(p director.Process) string {
 	if p.Leaving {
 		return "leaving"
 	}
 	return "up"
 }
+
+// condition puts the operator's wish before what the journal says.
+func condition(w director.Worker) string {
+	if w.Drained && w.Condition != journaler.Silent {
+		return "drained"
+	}
+	return string(w.Condition)
+}
+
+func cores(n cowslipbend.Millicores) string {
+	return fmt.Sprint(float64(n) / float64(cowslipbend.Core))
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- a/cowslip/system_test.go
+++ b/cowslip/system_test.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -33,7 +36,7 @@
 // system is a small system on loopback with a store that can be taken out.
 type system struct {
 	platform *platform.Platform
-	out      atomic.Bool
+	mode     atomic.Value // of the store
 	store    string
 	entries  []string
 	judge    *judge.Judge
@@ -46,6 +49,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	g, ctx := errgroup.WithContext(ctx)
 	s := &system{platform: platform.New(1), judge: judge.New(), group: g}
+	s.mode.Store(up)
 	s.store = s.serve(ctx, t, s.gate(s.platform.Handler())).URL()
 	for i := range hosts {
 		s.entry(ctx, t, i)
@@ -60,14 +64,35 @@
 	return s
 }
 
-// gate answers for the store while it is out.
+// Modes of the store.
+const (
+	up   = "up"
+	down = "down" // refuses everything
+	mute = "mute" // commits take effect and their answers are lost
+	cut  = "cut"  // as mute for the next publishing, and down after that
+)
+
+// gate plays the mode of the store.
 func (s *system) gate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.out.Load() {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		mode := s.mode.Load()
+		commit := r.Method == http.MethodPost
+		publish := commit && bytes.Contains(body, []byte(`"config/head"`))
+		switch {
+		case mode == down:
 			server.WriteError(w, cowslipbend.Fail(cowslipbend.KindDown, "store is out", "wait"))
-			return
+		case mode == mute && commit, mode == cut && publish:
+			next.ServeHTTP(httptest.NewRecorder(), r)
+			s.mode.CompareAndSwap(cut, down)
+			panic(http.ErrAbortHandler)
+		default:
+			next.ServeHTTP(w, r)
 		}
-		next.ServeHTTP(w, r)
 	})
 }
 
--- a/director/director.go
+++ b/director/director.go
@@ -8,6 +8,7 @@
 //	POST   /v1/jobs                         Job
 //	DELETE /v1/jobs/{id}?pool=P
 //	POST   /v1/cancel?pool=P                [id, ...], all or none
+//	GET    /v1/workers?pool=P
 //	POST   /v1/workers/{id}/drain?pool=P
 //	POST   /v1/workers/{id}/undrain?pool=P
 //	GET    /v1/burn                         the burn report
@@ -78,6 +79,7 @@
 	g.POST("/jobs", d.submit)
 	g.DELETE("/jobs/:id", d.cancel)
 	g.POST("/cancel", d.cancelAll)
+	g.GET("/workers", d.workers)
 	g.POST("/workers/:id/drain", d.drain)
 	g.POST("/workers/:id/undrain", d.undrain)
 	g.GET("/burn", d.readBurn)
--- a/operator/client.go
+++ b/operator/client.go
@@ -70,6 +70,13 @@
 	return v, err
 }
 
+// Workers lists the workers of a pool.
+func (c *Client) Workers(ctx context.Context, pool cowslipbend.PoolID) ([]director.Worker, error) {
+	var v []director.Worker
+	err := c.call(ctx, http.MethodGet, "/v1/workers?pool="+url.QueryEscape(string(pool)), nil, &v)
+	return v, err
+}
+
 // Submit submits a job. It is idempotent by the job's id.
 func (c *Client) Submit(ctx context.Context, job cowslipbend.Job) error {
 	return c.call(ctx, http.MethodPost, "/v1/jobs", job, nil)
