--- a/checker/decode_test.go
+++ b/checker/decode_test.go
@@ -29,7 +29,7 @@
 }
 
 func TestExamples(t *testing.T) {
-	for _, firm := range []string{"fraser", "easement"} {
+	for _, firm := range []string{"first", "fraser", "easement"} {
 		t.Run(firm, func(t *testing.T) {
 			root, err := fs.Sub(examples.Sets, firm)
 			assert.NilError(t, err)
@@ -146,7 +146,7 @@
 // FuzzDecode holds that whatever is accepted survives being published: it
 // encodes, decodes to the same set and passes the check again.
 func FuzzDecode(f *testing.F) {
-	for _, firm := range []string{"fraser", "easement"} {
+	for _, firm := range []string{"first", "fraser", "easement"} {
 		_ = fs.WalkDir(examples.Sets, firm, func(name string, d fs.DirEntry, err error) error {
 			if err == nil && !d.IsDir() {
 				data, _ := fs.ReadFile(examples.Sets, name)
--- a/examples/examples.go
+++ b/examples/examples.go
@@ -4,9 +4,10 @@
 
 import "embed"
 
-// Sets holds one directory of declarations for each firm.
+// Sets holds directories of declarations: one for each firm, and a first small
+// one.
 //
-//go:embed fraser easement
+//go:embed first fraser easement
 var Sets embed.FS
 
 // Jobs holds one job in each file.
