--- a/cowslip/session_test.go
+++ b/cowslip/session_test.go
@@ -73,6 +73,8 @@
 }{
 	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "127.0.0.1:PORT"},
 	{regexp.MustCompile(`(?m)^(ledger +)e\d( +)\d+`), "${1}OWNER${2}EPOCH"},
+	{regexp.MustCompile(`Retry-After: \d+`), "Retry-After: SECONDS"},
+	{regexp.MustCompile(`"after":"[^"]*"`), `"after":"SPAN"`},
 	{regexp.MustCompile(`in all \d processes`), "in all N processes"},
 	{regexp.MustCompile(`seen from entry e\d`), "seen from entry ENTRY"},
 	{regexp.MustCompile(`"(at|cpums|epoch)": \d+`), `"$1": NUMBER`},
@@ -117,8 +119,13 @@
 	return err == nil || strings.HasSuffix(arg, ".html") || strings.HasSuffix(arg, ".yaml")
 }
 
-// request sends a caller's request: METHOD PATH [HEADER:VALUE]... [BODY].
+// request sends a caller's request: [second] METHOD PATH [HEADER:VALUE]...
+// [BODY]. With "second" it goes to the second entry.
 func request(ts *testscript.TestScript, args []string) result {
+	entry := systemOf(ts).entries[0]
+	if len(args) > 0 && args[0] == "second" {
+		entry, args = systemOf(ts).entries[1], args[1:]
+	}
 	if len(args) < 2 {
 		ts.Fatalf("usage: call METHOD PATH [HEADER:VALUE]... [BODY]")
 	}
@@ -131,7 +138,7 @@
 		}
 		body = a
 	}
-	req, err := http.NewRequest(args[0], systemOf(ts).entries[0]+args[1], strings.NewReader(body))
+	req, err := http.NewRequest(args[0], entry+args[1], strings.NewReader(body))
 	ts.Check(err)
 	req.Header = header
 	resp, err := http.DefaultClient.Do(req)
--- a/operator/client.go
+++ b/operator/client.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -79,7 +80,11 @@
 
 // Submit submits a job. It is idempotent by the job's id.
 func (c *Client) Submit(ctx context.Context, job cowslipbend.Job) error {
-	return c.call(ctx, http.MethodPost, "/v1/jobs", job, nil)
+	err := c.call(ctx, http.MethodPost, "/v1/jobs", job, nil)
+	if e, ok := errors.AsType[*cowslipbend.Error](err); ok && e.Kind == cowslipbend.KindUnknown {
+		e.Remedy = "repeat it; the same id and content is the same job"
+	}
+	return err
 }
 
 // Cancel cancels a job.
