--- a/cowslip/publish.go
+++ b/cowslip/publish.go
@@ -82,7 +82,7 @@
 			status = s
 			if len(w.behind(status)) == 0 {
 				w.show("")
-				fmt.Fprintf(w.out, "in force in all %d processes\n", len(status.Processes))
+				fmt.Fprintf(w.out, "in force in all known processes (%d)\n", len(status.Processes))
 				return nil
 			}
 			w.show(fmt.Sprintf("in force in %d of %d processes", len(status.Processes)-len(w.behind(status)), len(status.Processes)))
