--- a/cowslip/burn.go
+++ b/cowslip/burn.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 
+	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
 
 	"cowslipbend.dev"
@@ -45,7 +46,7 @@
 			return err
 		}
 		if err := os.WriteFile(name, page.Bytes(), pageMode); err != nil {
-			return cowslipbend.Failf(cowslipbend.KindInvalid, err, "give a file that can be written", "cannot write the page")
+			return cowslipbend.Failf(cowslipbend.KindInvalid, errors.Annotatef(err, "write %s", name), "give a file that can be written", "cannot write the page")
 		}
 		_, err = fmt.Fprintf(out, "wrote %s\n", name)
 		return err
--- a/cowslip/session_test.go
+++ b/cowslip/session_test.go
@@ -88,16 +88,20 @@
 	return text
 }
 
-// shell runs cowslip against the system. A last argument "<file" gives the
-// standard input.
+// shell runs cowslip against the system, with a first argument "second" only
+// against the second entry. A last argument "<file" gives the standard input.
 func shell(ts *testscript.TestScript, args []string) result {
+	entries := systemOf(ts).entries
+	if len(args) > 0 && args[0] == "second" {
+		entries, args = entries[1:], args[1:]
+	}
 	var in io.Reader = strings.NewReader("")
 	if last := len(args) - 1; last >= 0 && strings.HasPrefix(args[last], "<") {
 		in = strings.NewReader(ts.ReadFile(args[last][1:]))
 		args = args[:last]
 	}
 	full := []string{"cowslip"}
-	for _, e := range systemOf(ts).entries {
+	for _, e := range entries {
 		full = append(full, "--entry", e)
 	}
 	for i, a := range args {
--- a/cowslip/submit.go
+++ b/cowslip/submit.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 
+	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
 
 	"cowslipbend.dev"
@@ -57,10 +57,13 @@
 	}
 	f, err := os.Open(name)
 	if err != nil {
-		return nil, err
+		return nil, errors.Annotate(err, "open")
 	}
 	data, err := io.ReadAll(io.LimitReader(f, maxJob+1))
-	return data, errors.Join(err, f.Close())
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return data, errors.Annotatef(err, "read %s", name)
 }
 
 // read returns the content of a file, or of the standard input for "-".
--- a/reporter/renderer/plot.go
+++ b/reporter/renderer/plot.go
@@ -7,6 +7,7 @@
 	"math"
 	"strings"
 
+	"github.com/juju/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
@@ -51,7 +52,7 @@
 	p.X.Tick.Marker = plot.TimeTicks{Ticker: plot.TickerFunc(clockTicks), Format: clockFormat}
 	p.Add(plotter.NewGrid())
 	if err := addBurn(p, s.Points); err != nil {
-		return "", drawing(err)
+		return "", drawing(errors.Annotatef(err, "burn of %s", s.Name))
 	}
 	addSustainable(p, s.Points)
 	p.Y.Max = max(p.Y.Max*1.1, 2) // Leave room above a curve that stays low.
@@ -59,10 +60,10 @@
 	p.Draw(draw.New(canvas))
 	var b bytes.Buffer
 	if _, err := canvas.WriteTo(&b); err != nil {
-		return "", drawing(err)
+		return "", drawing(errors.Annotatef(err, "SVG of %s", s.Name))
 	}
 	_, svg, _ := strings.Cut(b.String(), "<svg") // Without the XML declaration.
-	return template.HTML("<svg" + svg), nil      //nolint:gosec // All of its text is ours.
+	return template.HTML("<svg" + svg), nil      // All of its text is ours.
 }
 
 // clockFormat names a tick. It has the day, as the longest plot shows three.
