--- a/cowslip/session_test.go
+++ b/cowslip/session_test.go
@@ -7,9 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/internal/server"
 )
 
 // TestSessions runs the archives in testdata/sessions, each against a system
@@ -69,7 +73,9 @@
 }{
 	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "127.0.0.1:PORT"},
 	{regexp.MustCompile(`(?m)^(ledger +)e\d( +)\d+`), "${1}OWNER${2}EPOCH"},
-	{regexp.MustCompile(`in all \d processes`), "in all N processes"},
+	{regexp.MustCompile(`Retry-After: \d+`), "Retry-After: SECONDS"},
+	{regexp.MustCompile(`"after":"[^"]*"`), `"after":"SPAN"`},
+	{regexp.MustCompile(`processes \(\d\)`), "processes (N)"},
 	{regexp.MustCompile(`seen from entry e\d`), "seen from entry ENTRY"},
 	{regexp.MustCompile(`"(at|cpums|epoch)": \d+`), `"$1": NUMBER`},
 	{regexp.MustCompile(`"(owner|entry)": "e\d"`), `"$1": "ENTRY"`},
@@ -82,16 +88,20 @@
 	return text
 }
 
-// shell runs cowslip against the system. A last argument "<file" gives the
-// standard input.
+// shell runs cowslip against the system, with a first argument "second" only
+// against the second entry. A last argument "<file" gives the standard input.
 func shell(ts *testscript.TestScript, args []string) result {
+	entries := systemOf(ts).entries
+	if len(args) > 0 && args[0] == "second" {
+		entries, args = entries[1:], args[1:]
+	}
 	var in io.Reader = strings.NewReader("")
 	if last := len(args) - 1; last >= 0 && strings.HasPrefix(args[last], "<") {
 		in = strings.NewReader(ts.ReadFile(args[last][1:]))
 		args = args[:last]
 	}
 	full := []string{"cowslip"}
-	for _, e := range systemOf(ts).entries {
+	for _, e := range entries {
 		full = append(full, "--entry", e)
 	}
 	for i, a := range args {
@@ -113,8 +123,13 @@
 	return err == nil || strings.HasSuffix(arg, ".html") || strings.HasSuffix(arg, ".yaml")
 }
 
-// request sends a caller's request: METHOD PATH [HEADER:VALUE]... [BODY].
+// request sends a caller's request: [second] METHOD PATH [HEADER:VALUE]...
+// [BODY]. With "second" it goes to the second entry.
 func request(ts *testscript.TestScript, args []string) result {
+	entry := systemOf(ts).entries[0]
+	if len(args) > 0 && args[0] == "second" {
+		entry, args = systemOf(ts).entries[1], args[1:]
+	}
 	if len(args) < 2 {
 		ts.Fatalf("usage: call METHOD PATH [HEADER:VALUE]... [BODY]")
 	}
@@ -127,7 +142,7 @@
 		}
 		body = a
 	}
-	req, err := http.NewRequest(args[0], systemOf(ts).entries[0]+args[1], strings.NewReader(body))
+	req, err := http.NewRequest(args[0], entry+args[1], strings.NewReader(body))
 	ts.Check(err)
 	req.Header = header
 	resp, err := http.DefaultClient.Do(req)
@@ -171,12 +186,12 @@
 	ts.Fatalf("%q did not come; last seen:\n%s%s", args[0], last.out, last.errs)
 }
 
-// store takes the store out or brings it back: store down|up.
+// store sets the mode of the store: store up|down|mute|cut.
 func store(ts *testscript.TestScript, neg bool, args []string) {
-	if neg || len(args) != 1 || (args[0] != "down" && args[0] != "up") {
-		ts.Fatalf("usage: store down|up")
+	if neg || len(args) != 1 || !slices.Contains([]string{up, down, mute, cut}, args[0]) {
+		ts.Fatalf("usage: store up|down|mute|cut")
 	}
-	systemOf(ts).out.Store(args[0] == "down")
+	systemOf(ts).mode.Store(args[0])
 }
 
 func TestExitCodes(t *testing.T) {
@@ -200,4 +215,34 @@
 		assert.Equal(t, code, 2)
 		assert.Assert(t, strings.Contains(errs, "cowslip status --help"), errs)
 	})
+	t.Run("a wrong secret is denied", func(t *testing.T) {
+		srv := httptest.NewServer(server.Guard("right", http.NotFoundHandler()))
+		defer srv.Close()
+		code, errs := run("--entry", srv.URL, "--secret", "wrong", "status")
+		assert.Equal(t, code, 1)
+		assert.Assert(t, strings.Contains(errs, "wrong or missing secret"), errs)
+	})
+	t.Run("a call goes to the next entry if the first cannot be reached", func(t *testing.T) {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"entry":"e9"}`) }))
+		defer srv.Close()
+		code, errs := run("--entry", "http://127.0.0.1:1", "--entry", srv.URL, "status")
+		assert.Equal(t, code, 0, errs)
+	})
+	t.Run("a write without an answer is unknown and goes nowhere else", func(t *testing.T) {
+		var calls atomic.Int64
+		h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				_, _ = io.WriteString(w, `{"set":{"pools":[{"name":"p"}]}}`)
+				return
+			}
+			calls.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+		one, two := httptest.NewServer(h), httptest.NewServer(h)
+		defer one.Close()
+		defer two.Close()
+		code, errs := run("--entry", one.URL, "--entry", two.URL, "drain", "w1")
+		assert.Equal(t, code, 3, errs)
+		assert.Equal(t, calls.Load(), int64(1))
+	})
 }
