--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 
 	"cowslipbend.dev"
 )
@@ -22,6 +23,8 @@
 	// Snapshot names the object that holds the state at seq Base.
 	Snapshot string          `json:"snapshot,omitempty"`
 	Base     cowslipbend.Seq `json:"base,omitempty"`
+	// Trimmed is the last row that was deleted; it is at most Base.
+	Trimmed cowslipbend.Seq `json:"trimmed,omitempty"`
 	// Left is set when the owner gave the pool up at its planned stop.
 	Left bool `json:"left,omitempty"`
 }
@@ -33,16 +36,27 @@
 	Life cowslipbend.Incarnation `json:"life"`
 }
 
-// Journal is one owner's hold on a pool's journal. Its methods must not be
-// called concurrently.
+// Journal is one owner's hold on a pool's journal. Prepare, Commit and
+// Snapshot must not be called concurrently; Watchers and Head may be called at
+// any time.
 //
 // Every commit is conditional on the version of the head row, so that an
 // owner whose epoch is over can write nothing.
 type Journal struct {
-	store   Store
-	pool    cowslipbend.PoolID
+	store Store
+	pool  cowslipbend.PoolID
+
+	mu      sync.Mutex
 	head    Head
 	version int64
+	// open is the batch whose commit may have taken effect.
+	open *Batch
+	// ready is a snapshot that the next commit names.
+	ready *snapshot
+	// since counts the rows since the last snapshot was begun.
+	since int
+	// writing is set while a snapshot is being written.
+	writing bool
 }
 
 // Store is where journals last.
@@ -77,132 +91,24 @@
 }
 
 // Take makes the owner the one of the next epoch, after the head that the
-// caller read. A race gives KindConflict.
+// caller read. A race gives KindConflict; KindUnknown means that the pool may
+// have been taken, and a later look at the head tells.
 func (s Store) Take(ctx context.Context, pool cowslipbend.PoolID, head Head, version int64, owner Witness) (*Journal, error) {
 	j := &Journal{store: s, pool: pool, head: head, version: version}
 	next := head
 	next.Epoch++
 	next.Owner, next.URL, next.Life = owner.ID, owner.URL, owner.Life
 	next.Witnesses, next.Left = nil, false
-	if err := j.write(ctx, next, nil); err != nil {
+	b, err := j.batch(next, nil)
+	if err != nil {
 		return nil, err
 	}
-	return j, nil
+	return j, j.Commit(ctx, b)
 }
 
 // Head returns the head as last committed.
-func (j *Journal) Head() Head { return j.head }
-
-// Commit appends a batch of records. KindConflict means that another owner
-// has taken the pool. KindDown and KindUnknown are settled inside as far as
-// the store answers; after either the same batch must be committed again.
-func (j *Journal) Commit(ctx context.Context, records []cowslipbend.Record) error {
-	next := j.head
-	next.Seq++
-	value, err := json.Marshal(records)
-	if err != nil {
-		return cowslipbend.Failf(cowslipbend.KindBroken, err, "report this", "records do not encode")
-	}
-	return j.write(ctx, next, &cowslipbend.Put{Key: rowKey(j.pool, next.Seq), Value: value})
-}
-
-// Amend commits a change of the head alone.
-func (j *Journal) Amend(ctx context.Context, change func(*Head)) error {
-	next := j.head
-	change(&next)
-	return j.write(ctx, next, nil)
-}
-
-// write commits a head and perhaps a row, and settles a lost answer by
-// reading the head and comparing the batch id.
-func (j *Journal) write(ctx context.Context, next Head, row *cowslipbend.Put) error {
-	next.Batch = cowslipbend.DrawID()
-	value, err := json.Marshal(next)
-	if err != nil {
-		return cowslipbend.Failf(cowslipbend.KindBroken, err, "report this", "head does not encode")
-	}
-	txn := cowslipbend.Txn{
-		Conds: []cowslipbend.Cond{{Key: headKey(j.pool), Version: j.version}},
-		Puts:  []cowslipbend.Put{{Key: headKey(j.pool), Value: value}},
-	}
-	if row != nil {
-		txn.Puts = append(txn.Puts, *row)
-	}
-	committed, cause := j.store.Table.Commit(ctx, txn)
-	if cause == nil {
-		j.head, j.version = next, committed
-		return nil
-	}
-	if cowslipbend.KindOf(cause) == cowslipbend.KindDown {
-		return cause
-	}
-	head, version, err := j.store.ReadHead(ctx, j.pool)
-	switch {
-	case err != nil:
-		return cowslipbend.Failf(cowslipbend.KindUnknown, err, "commit the same batch again", "commit may have taken effect")
-	case head.Batch == next.Batch:
-		j.head, j.version = next, version
-		return nil
-	case version != j.version:
-		return cowslipbend.Fail(cowslipbend.KindConflict, fmt.Sprintf("epoch %d has taken the pool", head.Epoch), "step down")
-	}
-	return cause
-}
-
-// Confirm reads the head and returns KindConflict if the epoch is over.
-func (j *Journal) Confirm(ctx context.Context) error {
-	head, version, err := j.store.ReadHead(ctx, j.pool)
-	if err != nil {
-		return err
-	}
-	if version != j.version {
-		return cowslipbend.Fail(cowslipbend.KindConflict, fmt.Sprintf("epoch %d has taken the pool", head.Epoch), "step down")
-	}
-	return nil
-}
-
-// scanRows is the count of rows read at once.
-const scanRows = 200
-
-// Load reads the snapshot and replays the rows behind it.
-func (j *Journal) Load(ctx context.Context) (*State, error) {
-	state := NewState()
-	if j.head.Snapshot != "" {
-		data, err := j.store.Objects.Get(ctx, j.head.Snapshot)
-		if err != nil {
-			return nil, err
-		}
-		if err := json.Unmarshal(data, state); err != nil {
-			return nil, cowslipbend.Failf(cowslipbend.KindBroken, err, "restore the object "+j.head.Snapshot, "snapshot is damaged")
-		}
-	}
-	after := rowKey(j.pool, j.head.Base)
-	for {
-		rows, err := j.store.Table.Scan(ctx, rowPrefix(j.pool), after, scanRows)
-		if err != nil {
-			return nil, err
-		}
-		for _, row := range rows {
-			if err := replay(state, row); err != nil {
-				return nil, err
-			}
-			after = row.Key
-		}
-		if len(rows) < scanRows {
-			return state, nil
-		}
-	}
-}
-
-func replay(state *State, row cowslipbend.Row) error {
-	var records []cowslipbend.Record
-	if err := json.Unmarshal(row.Value, &records); err != nil {
-		return cowslipbend.Failf(cowslipbend.KindBroken, err, "restore the row "+row.Key, "journal row is damaged")
-	}
-	for _, r := range records {
-		if err := state.Apply(r); err != nil {
-			return err
-		}
-	}
-	return nil
+func (j *Journal) Head() Head {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.head
 }
--- a/journaler/state.go
+++ b/journaler/state.go
@@ -50,6 +50,8 @@
 	Jobs    map[cowslipbend.JobID]*cowslipbend.Job `json:"jobs"`
 	Tasks   map[cowslipbend.TaskID]*Task           `json:"tasks"`
 	Workers map[cowslipbend.WorkerID]*Worker       `json:"workers"`
+	// Dropped remembers jobs that ended long ago.
+	Dropped map[cowslipbend.JobID]Dropped `json:"dropped,omitempty"`
 }
 
 // NewState returns an empty pool.
@@ -58,6 +60,7 @@
 		Jobs:    map[cowslipbend.JobID]*cowslipbend.Job{},
 		Tasks:   map[cowslipbend.TaskID]*Task{},
 		Workers: map[cowslipbend.WorkerID]*Worker{},
+		Dropped: map[cowslipbend.JobID]Dropped{},
 	}
 }
 
@@ -73,6 +76,8 @@
 			s.cancel(id, r.At)
 		}
 		return nil
+	case cowslipbend.RecDropped:
+		return s.drop(r)
 	case cowslipbend.RecJoined:
 		s.join(r)
 		return nil
@@ -96,7 +101,7 @@
 	if r.Job == nil {
 		return broken(r, "names no job")
 	}
-	if _, known := s.Jobs[r.Job.ID]; known {
+	if known, _ := s.Known(r.Job); known {
 		return broken(r, "job "+string(r.Job.ID)+" is known")
 	}
 	s.Jobs[r.Job.ID] = r.Job
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -1,6 +1,3 @@
-// Package leaser decides how long an owner may let batch work run, and when a
-// successor may count the leases of its predecessors as lapsed. It compares
-// no clocks of two hosts.
 package leaser
 
 import (
@@ -9,66 +6,81 @@
 	"cowslipbend.dev"
 )
 
-// Options are the terms of leases.
-type Options struct {
-	// Length is L: leases end this long after the owner's last confirmed read.
-	Length cowslipbend.Span
-	// Cap is H: leases extended by witnesses end this long after it.
-	Cap cowslipbend.Span
-	// Drift is the margin for clocks that run at different rates, in percent.
-	Drift int
-}
-
-// Defaults returns usual terms.
-func Defaults() Options {
-	return Options{Length: 6 * cowslipbend.Second, Cap: 4 * cowslipbend.Hour, Drift: 5}
-}
-
-// percent is the whole in percent.
-const percent = 100
-
-// Margin returns the span plus the drift margin.
-func (o Options) Margin(s cowslipbend.Span) cowslipbend.Span {
-	return s + s*cowslipbend.Span(o.Drift)/percent
-}
-
-// Leaser is the owner's account of what it may grant. It is safe for
-// concurrent use.
+// Leaser is an owner's Account under a lock, with its terms and a clock.
 type Leaser struct {
-	opts  Options
+	terms Terms
 	clock cowslipbend.Clock
 
-	mu    sync.Mutex
-	until cowslipbend.Time
-	over  bool
+	mu      sync.Mutex
+	account Account
 }
 
 // New returns a leaser that may grant nothing yet.
-func New(opts Options, clock cowslipbend.Clock) *Leaser {
-	return &Leaser{opts: opts, clock: clock}
+func New(terms Terms, clock cowslipbend.Clock) *Leaser {
+	return &Leaser{terms: terms, clock: clock}
 }
 
-// Confirm notes that the store confirmed the epoch by a read that began then.
+// Terms returns the terms.
+func (l *Leaser) Terms() Terms { return l.terms }
+
+// Confirm notes that the store confirmed the epoch by an exchange that began
+// then.
 func (l *Leaser) Confirm(began cowslipbend.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.until = max(l.until, began.Add(l.opts.Length))
+	l.account.Confirm(began)
+}
+
+// Extend notes that every witness held in a round that began then.
+func (l *Leaser) Extend(sent cowslipbend.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.account.Extend(sent)
 }
 
 // End makes every later grant zero; the epoch is over.
 func (l *Leaser) End() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.over = true
+	l.account.End()
 }
 
-// Grant returns the lease that a heartbeat may carry now. The agent counts it
-// from the moment it sent the heartbeat, which was earlier.
+// Grant returns the lease that a heartbeat's reply may carry now.
 func (l *Leaser) Grant() cowslipbend.Span {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.over {
-		return 0
+	return l.account.Grant(l.terms, l.clock.Now())
+}
+
+// Witnesses is what one life of an entry holds and has released, for all
+// pools. It is safe for concurrent use.
+type Witnesses struct {
+	mu    sync.Mutex
+	pools map[cowslipbend.PoolID]*Witness
+}
+
+// NewWitnesses returns the witnesses of a life that begins.
+func NewWitnesses() *Witnesses {
+	return &Witnesses{pools: map[cowslipbend.PoolID]*Witness{}}
+}
+
+func (w *Witnesses) pool(id cowslipbend.PoolID) *Witness {
+	if w.pools[id] == nil {
+		w.pools[id] = &Witness{}
 	}
-	return max(l.until.Sub(l.clock.Now()), 0)
+	return w.pools[id]
+}
+
+// Hold reports whether this life backs the epoch of the pool.
+func (w *Witnesses) Hold(pool cowslipbend.PoolID, epoch cowslipbend.Epoch) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.pool(pool).Hold(epoch)
+}
+
+// Release ends the backing of all epochs of the pool up to this one for good.
+func (w *Witnesses) Release(pool cowslipbend.PoolID, epoch cowslipbend.Epoch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pool(pool).Release(epoch)
 }
--- a/record.go
+++ b/record.go
@@ -20,6 +20,7 @@
 	RecRestored   RecordKind = "restored"   // a worker left quarantine
 	RecDrained    RecordKind = "drained"    // an operator empties a worker
 	RecUndrained  RecordKind = "undrained"  // an operator gives a worker back
+	RecDropped    RecordKind = "dropped"    // a job that ended long ago leaves the state
 )
 
 // Record is one entry of a pool's journal. Fields that a kind does not use
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -168,8 +168,8 @@
 	if err := job.Check(); err != nil {
 		return nil, err
 	}
-	if have, known := e.state.Jobs[job.ID]; known {
-		if *have == job {
+	if known, same := e.state.Known(&job); known {
+		if same {
 			return nil, nil
 		}
 		return nil, cowslipbend.Fail(cowslipbend.KindConflict, "job "+string(job.ID)+" exists with other content", "choose a new id")
