scheduler: witnesses, hand-over, desk for heartbeats, deliveries side by side

Cause: heartbeats queued behind a commit that waited for the store and were dropped, with the lease ends they carried; a lease could be granted in the moment in which a round counted the worker as lost; one slow agent held up all orders; every commit was followed by a pause; a planned stop was a crash. Change: the desk answers heartbeats at once, keeps the newest of each worker and bars silent ones before a round decides. Commits are at once when idle and 100 ms apart when busy. While the store is out the owner has the listed witnesses hold; a successor asks for a release.

--- a/entry/runner/calls.go
+++ b/entry/runner/calls.go
@@ -80,6 +80,9 @@
 	e := c.entry
 	e.hear(r.GetSelf(), cowslipbend.Revision(r.GetRevision()))
 	e.limits.Hear(cowslipbend.EntryID(r.GetSelf().GetId()), fromCounts(r.GetCounts()))
+	if r.GetSelf().GetLeaving() {
+		e.owners.Nudge()
+	}
 	reply := &control.SyncReply{Self: toPeer(e.peer()), Revision: int64(e.config.Revision()), Counts: e.counts()}
 	for _, p := range e.track.Peers() {
 		reply.Peers = append(reply.Peers, toPeer(p))
@@ -88,11 +91,17 @@
 }
 
 // Hold backs the owner of a pool while the store is out.
-func (c *calls) Hold(context.Context, *control.HoldRequest) (*control.HoldReply, error) {
-	return &control.HoldReply{}, nil
+func (c *calls) Hold(_ context.Context, r *control.HoldRequest) (*control.HoldReply, error) {
+	held := cowslipbend.Incarnation(r.GetLife()) == c.entry.life &&
+		c.entry.vows.Hold(cowslipbend.PoolID(r.GetPool()), cowslipbend.Epoch(r.GetEpoch()))
+	return &control.HoldReply{Held: held}, nil
 }
 
 // Release never holds the epoch again.
-func (c *calls) Release(context.Context, *control.ReleaseRequest) (*control.ReleaseReply, error) {
-	return &control.ReleaseReply{}, nil
+func (c *calls) Release(_ context.Context, r *control.ReleaseRequest) (*control.ReleaseReply, error) {
+	if cowslipbend.Incarnation(r.GetLife()) != c.entry.life {
+		return &control.ReleaseReply{}, nil
+	}
+	c.entry.vows.Release(cowslipbend.PoolID(r.GetPool()), cowslipbend.Epoch(r.GetEpoch()))
+	return &control.ReleaseReply{Released: true}, nil
 }
--- a/entry/runner/run.go
+++ b/entry/runner/run.go
@@ -40,6 +40,7 @@
 	peerSilence  = 3 * cowslipbend.Second
 	agentSilence = 3 * cowslipbend.Second
 	closeTimeout = 2 * cowslipbend.Second
+	handTimeout  = 2 * cowslipbend.Second
 	trimPeriod   = cowslipbend.Minute
 )
 
@@ -58,6 +59,7 @@
 	claims   *router.TableClaims
 	receiver *receiver.Receiver
 	owners   *scheduler.Owners
+	vows     *leaser.Witnesses
 	director *director.Director
 	burn     *reporter.Recorder
 	metrics  *metrics
@@ -84,6 +86,7 @@
 		return nil, err
 	}
 	e := &Entry{
+		vows:     leaser.NewWitnesses(),
 		settings: s, clock: clock, log: log, life: cowslipbend.Incarnation(cowslipbend.DrawID()),
 		store: storer.New(s.Store, storeTimeout), track: tracker.New(clock, s.Domain),
 		config: publisher.NewHolder(s.Secret, log), limits: limiter.New(clock), http: dialer.Pooled(s.Secret),
@@ -209,10 +212,19 @@
 // other entries.
 func (e *Entry) drain(ctx context.Context) {
 	e.leaving.Store(true)
+	e.handOver(ctx)
 	_ = e.sync(ctx)
 	timer.Sleep(ctx, e.clock, e.settings.Delay)
 }
 
+// handOver gives all pools up, for at most handTimeout; those that the store
+// does not let go are taken over as after a crash.
+func (e *Entry) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handTimeout.Duration())
+	defer cancel()
+	e.owners.Leave(ctx)
+}
+
 // shutdown lets the requests in flight finish and closes what is open.
 func (e *Entry) shutdown() {
 	ctx, cancel := context.WithTimeout(context.Background(), (e.settings.Drain + closeTimeout).Duration())
--- /dev/null
+++ b/entry/runner/witness.go
@@ -0,0 +1,46 @@
+package runner
+
+import (
+	"context"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/internal/control"
+	"cowslipbend.dev/journaler"
+)
+
+// witnessTimeout bounds one question to a witness.
+const witnessTimeout = cowslipbend.Second
+
+// Witnesses returns the lives of the other live entries.
+func (e *Entry) Witnesses() []journaler.Witness {
+	var list []journaler.Witness
+	for _, p := range e.track.Live(peerSilence) {
+		list = append(list, journaler.Witness{ID: p.ID, URL: p.URL, Life: p.Life})
+	}
+	return list
+}
+
+// Hold asks a witness to back the epoch of a pool.
+func (e *Entry) Hold(ctx context.Context, w journaler.Witness, pool cowslipbend.PoolID, epoch cowslipbend.Epoch) bool {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout.Duration())
+	defer cancel()
+	reply, err := control.NewEntryProtobufClient(w.URL, e.http).Hold(ctx, &control.HoldRequest{
+		Pool: string(pool), Epoch: int64(epoch), Life: string(w.Life),
+	})
+	return err == nil && reply.GetHeld()
+}
+
+// Release asks a witness, which may be this entry, never to hold epochs up to
+// this one again.
+func (e *Entry) Release(ctx context.Context, w journaler.Witness, pool cowslipbend.PoolID, epoch cowslipbend.Epoch) bool {
+	if w.Life == e.life {
+		e.vows.Release(pool, epoch)
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout.Duration())
+	defer cancel()
+	reply, err := control.NewEntryProtobufClient(w.URL, e.http).Release(ctx, &control.ReleaseRequest{
+		Pool: string(pool), Epoch: int64(epoch), Life: string(w.Life),
+	})
+	return err == nil && reply.GetReleased()
+}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -136,6 +136,20 @@
 	delete(e.evicting.intents, t.ID)
 }
 
+// Settle moves the moment at which every lease of earlier owners has lapsed
+// forward to an earlier one.
+func (e *Engine) Settle(safe cowslipbend.Time) {
+	for _, s := range e.seen {
+		if s.lapse == e.safe {
+			s.lapse = min(s.lapse, safe)
+		}
+		if s.at == e.safe {
+			s.at = min(s.at, safe)
+		}
+	}
+	e.safe = min(e.safe, safe)
+}
+
 // State returns the journal state. It must not be changed.
 func (e *Engine) State() *journaler.State { return e.state }
 
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -5,12 +5,12 @@
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/internal/ring"
 	"cowslipbend.dev/journaler"
 	"cowslipbend.dev/leaser"
-	"cowslipbend.dev/timer"
 )
 
 // Sender tells agents what to do. It returns the attempts that the agent
@@ -37,6 +37,8 @@
 	tick      = 200 * cowslipbend.Millisecond
 	busyPause = 100 * cowslipbend.Millisecond // between commits when busy
 	storeWait = 500 * cowslipbend.Millisecond // between tries while the store is out
+	maxDrops  = 100                           // ended jobs dropped by one commit
+	dropEvery = 10 * cowslipbend.Second
 )
 
 // event is one thing for the owner's loop: exactly one of the fields before reply is
@@ -48,7 +50,10 @@
 	drain   *draining
 	refused *refused
 	view    func(*Engine)
-	reply   chan error
+	// safe is when all leases of earlier epochs have lapsed.
+	safe  cowslipbend.Time
+	leave bool
+	reply chan error
 }
 
 // draining asks to empty a worker, or to give it back.
@@ -75,29 +80,25 @@
 	events  *ring.Ring[event]
 	outbox  *ring.Ring[parcel]
 	epoch   cowslipbend.Epoch
+	members Members
+	desk    *desk
 	ended   chan struct{}
 	end     sync.Once
+	work    errgroup.Group
 	done    chan struct{}
 
-	mu   sync.Mutex
-	acks map[cowslipbend.WorkerID][]Ref
+	// committed and dropped are when the last commit ended and when ended jobs
+	// were last looked for.
+	committed cowslipbend.Time
+	dropped   cowslipbend.Time
 }
 
-// parcel is the orders for one worker.
-type parcel struct {
-	worker cowslipbend.WorkerID
-	orders *Orders
-}
-
-// outboxRing is the room for orders that wait to be sent.
-const outboxRing = 4096
-
 // NewOwner returns the owner of a taken journal.
-func NewOwner(pool cowslipbend.PoolID, j *journaler.Journal, e *Engine, l *leaser.Leaser, s Sender, c Config, clock cowslipbend.Clock, log hclog.Logger) *Owner {
+func NewOwner(pool cowslipbend.PoolID, j *journaler.Journal, e *Engine, l *leaser.Leaser, m Members, s Sender, c Config, clock cowslipbend.Clock, log hclog.Logger) *Owner {
 	return &Owner{
-		pool: pool, journal: j, engine: e, leases: l, sender: s, config: c, clock: clock, log: log,
-		events: ring.New[event](eventRing), outbox: ring.New[parcel](outboxRing),
-		epoch: j.Head().Epoch, ended: make(chan struct{}), done: make(chan struct{}), acks: map[cowslipbend.WorkerID][]Ref{},
+		pool: pool, journal: j, engine: e, leases: l, members: m, sender: s, config: c, clock: clock, log: log,
+		events: ring.New[event](eventRing), outbox: ring.New[parcel](outboxRing), desk: newDesk(e),
+		epoch: j.Head().Epoch, ended: make(chan struct{}), done: make(chan struct{}),
 	}
 }
 
@@ -116,14 +117,7 @@
 // Beat takes a heartbeat and returns the lease and the acknowledgements for
 // its reply. It never waits.
 func (o *Owner) Beat(b Beat) (cowslipbend.Span, []Ref) {
-	lease := o.leases.Grant()
-	b.Lapse = o.clock.Now().Add(lease)
-	o.events.Offer(event{beat: &b})
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	acks := o.acks[b.Worker.ID]
-	delete(o.acks, b.Worker.ID)
-	return lease, acks
+	return o.desk.beat(b, o.leases, o.clock)
 }
 
 // Submit accepts a job once its record is committed.
@@ -146,6 +140,16 @@
 	return o.ask(ctx, event{drain: &draining{worker: worker, back: true}})
 }
 
+// Settle tells when all leases of earlier epochs have lapsed.
+func (o *Owner) Settle(ctx context.Context, safe cowslipbend.Time) error {
+	return o.ask(ctx, event{safe: safe})
+}
+
+// Leave gives the pool up, so that another entry takes it at once.
+func (o *Owner) Leave(ctx context.Context) error {
+	return o.ask(ctx, event{leave: true})
+}
+
 // View calls f with the committed state, in the owner's thread.
 func (o *Owner) View(ctx context.Context, f func(*Engine)) error {
 	return o.ask(ctx, event{view: f})
@@ -166,25 +170,29 @@
 	}
 }
 
-// Run decides until the context ends or another owner takes the pool; the
-// latter returns KindConflict.
+// Run decides until the context ends, the pool is left, or another owner
+// takes it; the last returns KindConflict.
 func (o *Owner) Run(ctx context.Context) error {
 	defer close(o.done)
 	defer o.events.Close()
 	defer o.outbox.Close()
 	defer o.leases.End()
+	defer func() { _ = o.work.Wait() }()
 	for {
 		batch, ok := o.gather(ctx)
 		if !ok {
 			return nil
 		}
-		if err := o.round(ctx, batch); err != nil {
+		left, err := o.round(ctx, batch)
+		if err != nil || left {
 			return err
 		}
 	}
 }
 
-// gather waits for an event or a tick and returns what is there.
+// gather waits for an event or a tick and returns what is there. When the
+// pool was idle it returns at once; commits that follow each other are
+// busyPause apart, so that each carries many events.
 func (o *Owner) gather(ctx context.Context) ([]event, bool) {
 	var batch []event
 	select {
@@ -194,16 +202,29 @@
 		return nil, false
 	case ev := <-o.events.Items():
 		batch = append(batch, ev)
+	case <-o.desk.mailed:
 	case <-o.clock.After(tick):
 	}
+	if pause := o.committed.Add(busyPause).Sub(o.clock.Now()); o.committed != 0 && pause > 0 {
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case <-o.ended:
+			return nil, false
+		case <-o.clock.After(pause):
+		}
+	}
 	return append(batch, o.events.Drain(maxBatch)...), true
 }
 
 // round decides on a batch of events, commits, and then lets the effects out.
 // The engine's state runs ahead of the journal only inside a round, during
-// which nothing leaves this process.
-func (o *Owner) round(ctx context.Context, batch []event) error {
+// which nothing leaves this process. It reports whether the pool was left.
+func (o *Owner) round(ctx context.Context, batch []event) (left bool, err error) {
 	now, wall := o.clock.Now(), o.clock.Wall()
+	for _, b := range o.desk.open(now) {
+		batch = append(batch, event{beat: b})
+	}
 	_, set := o.config.Set()
 	o.engine.Declare(set)
 	replies := make([]error, len(batch))
@@ -212,26 +233,44 @@
 		more, err := o.handle(ev, now, wall)
 		replies[i] = err
 		if err := o.engine.Apply(more); err != nil {
-			return err
+			return false, err
 		}
 		recs = append(recs, more...)
+		left = left || ev.leave
 	}
 	decided := o.engine.Decide(now, wall)
 	if err := o.engine.Apply(decided); err != nil {
-		return err
+		return false, err
 	}
 	recs = append(recs, decided...)
-	if len(recs) > 0 {
-		if err := o.commit(ctx, recs); err != nil {
-			return err
-		}
+	drops := o.drops(now, wall, set)
+	if err := o.engine.Apply(drops); err != nil {
+		return false, err
 	}
+	if err := o.commit(ctx, append(recs, drops...), left); err != nil {
+		return false, err
+	}
+	o.desk.close(o.engine, batch)
 	o.release(batch, replies)
+	if left {
+		return true, nil
+	}
 	o.order(now)
-	if len(recs) > 0 && !timer.Sleep(ctx, o.clock, busyPause) {
+	return false, o.snapshot(ctx)
+}
+
+// drops returns the records that drop long-ended jobs, now and then. Declared
+// jobs stay, as their ids must not be submitted again.
+func (o *Owner) drops(now, wall cowslipbend.Time, set *cowslipbend.Set) []cowslipbend.Record {
+	if now.Sub(o.dropped) < dropEvery {
 		return nil
 	}
-	return nil
+	o.dropped = now
+	declared := map[cowslipbend.JobID]bool{}
+	for i := range set.Jobs {
+		declared[set.Jobs[i].ID] = true
+	}
+	return o.engine.State().Expired(wall, declared, maxDrops)
 }
 
 func (o *Owner) handle(ev event, now, wall cowslipbend.Time) ([]cowslipbend.Record, error) {
@@ -256,11 +295,27 @@
 	return nil, nil
 }
 
-// commit writes the records, waiting out the store.
-func (o *Owner) commit(ctx context.Context, recs []cowslipbend.Record) error {
+// commit writes the records and changes of the head, waiting out the store.
+// With nothing to write it does nothing.
+func (o *Owner) commit(ctx context.Context, recs []cowslipbend.Record, left bool) error {
+	var changes []journaler.Change
+	if list, changed := o.watchers(); changed {
+		changes = append(changes, func(h *journaler.Head) { h.Witnesses = list })
+	}
+	if left {
+		changes = append(changes, func(h *journaler.Head) { h.Left = true })
+	}
+	if len(recs)+len(changes) == 0 {
+		return nil
+	}
+	b, err := o.journal.Prepare(recs, changes...)
+	if err != nil {
+		return err
+	}
+	defer func() { o.committed = o.clock.Now() }()
 	for {
 		began := o.clock.Now()
-		err := o.journal.Commit(ctx, recs)
+		err := o.journal.Commit(ctx, b)
 		switch cowslipbend.KindOf(err) {
 		case "":
 			o.leases.Confirm(began)
@@ -270,30 +325,50 @@
 		default:
 			return err
 		}
-		if !timer.Sleep(ctx, o.clock, storeWait) {
+		select {
+		case <-ctx.Done():
 			return cowslipbend.Fail(cowslipbend.KindLeaving, "owner stopped before its commit", "the next owner goes on")
+		case <-o.ended:
+			return cowslipbend.Fail(cowslipbend.KindConflict, "another epoch has begun", "step down")
+		case <-o.clock.After(storeWait):
 		}
 	}
 }
 
+// snapshot writes the state to the object store beside the commits when
+// enough rows have gathered.
+func (o *Owner) snapshot(ctx context.Context) error {
+	if !o.journal.Due() {
+		return nil
+	}
+	write, err := o.journal.Snapshot(o.engine.State())
+	if err != nil {
+		return err
+	}
+	o.work.Go(func() error {
+		if err := write(ctx); err != nil {
+			o.log.Warn("snapshot was not written", "pool", o.pool, "error", err)
+		}
+		return nil
+	})
+	return nil
+}
+
 // release answers the events of a committed batch.
 func (o *Owner) release(batch []event, replies []error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	for i, ev := range batch {
 		if ev.view != nil {
 			ev.view(o.engine)
 		}
+		if ev.safe != 0 {
+			// This holds from the next round on, which bars the workers that it
+			// may count as lost before it decides.
+			o.engine.Settle(ev.safe)
+			o.desk.settle(ev.safe)
+		}
 		if ev.reply != nil {
 			ev.reply <- replies[i]
 		}
-		if ev.beat == nil {
-			continue
-		}
-		for _, r := range ev.beat.Reports {
-			id := ev.beat.Worker.ID
-			o.acks[id] = append(o.acks[id], Ref{r.Task, r.Attempt})
-		}
 	}
 }
 
@@ -302,28 +377,3 @@
 		o.outbox.Offer(parcel{worker, orders})
 	}
 }
-
-// Deliver sends orders until the owner is done. It runs beside Run.
-func (o *Owner) Deliver(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-o.done:
-			return nil
-		case p := <-o.outbox.Items():
-			o.deliver(ctx, p)
-		}
-	}
-}
-
-func (o *Owner) deliver(ctx context.Context, p parcel) {
-	list, err := o.sender.Send(ctx, p.worker, o.pool, o.Epoch(), p.orders)
-	if err != nil {
-		o.log.Info("orders were not delivered", "worker", p.worker, "error", err)
-		return
-	}
-	if len(list) > 0 {
-		o.events.Offer(event{refused: &refused{p.worker, list}})
-	}
-}
--- a/scheduler/owners_test.go
+++ b/scheduler/owners_test.go
@@ -19,13 +19,31 @@
 
 // members is a view of the entries that a test sets.
 type members struct {
-	live   []cowslipbend.EntryID
-	absent bool
+	live      []cowslipbend.EntryID
+	absent    bool
+	witnesses []journaler.Witness
+	// vows are the witnesses that can be reached.
+	vows map[cowslipbend.Incarnation]*leaser.Witnesses
 }
 
 func (m *members) LiveEntries() []cowslipbend.EntryID { return m.live }
 func (m *members) Joined() bool                       { return !m.absent }
 
+func (m *members) Witnesses() []journaler.Witness { return m.witnesses }
+
+func (m *members) Hold(_ context.Context, w journaler.Witness, p cowslipbend.PoolID, e cowslipbend.Epoch) bool {
+	vows, reached := m.vows[w.Life]
+	return reached && vows.Hold(p, e)
+}
+
+func (m *members) Release(_ context.Context, w journaler.Witness, p cowslipbend.PoolID, e cowslipbend.Epoch) bool {
+	vows, reached := m.vows[w.Life]
+	if reached {
+		vows.Release(p, e)
+	}
+	return reached
+}
+
 // idle sends no orders.
 type idle struct{}
 
