--- a/scheduler/owners.go
+++ b/scheduler/owners.go
@@ -226,12 +226,9 @@
 	if head.Owner == o.self.ID {
 		return true // visit has found that no owner runs here.
 	}
-	for _, id := range o.members.LiveEntries() {
-		if id == head.Owner {
-			return false
-		}
-	}
-	return true
+	// The life counts: a restarted entry does not own what it owned before,
+	// and may not be the one to take it again.
+	return !slices.ContainsFunc(o.members.Witnesses(), func(w journaler.Witness) bool { return w.Life == head.Life })
 }
 
 // preferred returns the live entry with the highest hash for the pool, so
--- a/scheduler/owners_test.go
+++ b/scheduler/owners_test.go
@@ -89,6 +89,37 @@
 		a.Look(t.Context())
 		assert.Assert(t, a.Owner(pool) == nil)
 	})
+	t.Run("a pool of an entry that was restarted is taken by the preferred one", func(t *testing.T) {
+		store, clock := newStore(), &timer.Manual{}
+		a, b := newNode(store, clock, "a"), newNode(store, clock, "b")
+		a.Look(t.Context())
+		assertOwns(t, a, 1)
+		// Another life of entry a lives, and b is alone in its own eyes.
+		b.members.witnesses = []journaler.Witness{{ID: "a", URL: "http://a", Life: "another"}}
+		b.Look(t.Context())
+		assertOwns(t, b, 2)
+	})
+	t.Run("a pool whose owner lives is left alone", func(t *testing.T) {
+		store, clock := newStore(), &timer.Manual{}
+		a, b := newNode(store, clock, "a"), newNode(store, clock, "b")
+		a.Look(t.Context())
+		b.members.witnesses = []journaler.Witness{{ID: "a", URL: "http://a", Life: "life-a"}}
+		b.Look(t.Context())
+		assert.Assert(t, b.Owner(pool) == nil)
+	})
+	t.Run("a pool that is left is taken at once", func(t *testing.T) {
+		store, clock := newStore(), &timer.Manual{}
+		a, b := newNode(store, clock, "a"), newNode(store, clock, "b")
+		a.Look(t.Context())
+		old := assertOwns(t, a, 1)
+		b.members.witnesses = []journaler.Witness{{ID: "a", URL: "http://a", Life: "life-a"}}
+		a.Leave(t.Context())
+		<-old.Done()
+		a.Look(t.Context())
+		assert.Assert(t, a.Owner(pool) == nil)
+		b.Look(t.Context())
+		assertOwns(t, b, 2)
+	})
 	t.Run("an idle owner learns that its epoch is over", func(t *testing.T) {
 		store, clock := newStore(), &timer.Manual{}
 		a, b := newNode(store, clock, "a"), newNode(store, clock, "b")
