--- /dev/null
+++ b/queuer/queue_test.go
@@ -0,0 +1,93 @@
+package queuer
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev"
+)
+
+func cpu(n int) cowslipbend.Resources {
+	return cowslipbend.Resources{CPU: cowslipbend.Core * cowslipbend.Millicores(n)}
+}
+
+// add puts a job with one task into the queue.
+func add(q *Queue, id string, team cowslipbend.TeamID, u cowslipbend.Urgency, at cowslipbend.Time) *cowslipbend.Job {
+	j := &cowslipbend.Job{ID: cowslipbend.JobID(id), Team: team, Urgency: u, Tasks: 1, Size: cpu(1)}
+	q.Add(j, at, Item{Task: cowslipbend.MakeTaskID(j.ID, 0), Since: at, Ready: at})
+	return j
+}
+
+// served returns the jobs in the order in which they are offered, when each is
+// given the verdict.
+func served(q *Queue, wall cowslipbend.Time, v Verdict) []cowslipbend.JobID {
+	var ids []cowslipbend.JobID
+	q.Serve(wall, cpu(100), func(j *cowslipbend.Job, _ Item, quota Quota) (cowslipbend.Resources, Verdict) {
+		if !quota.Allows(j.Size) {
+			return cowslipbend.Resources{}, Blocked
+		}
+		ids = append(ids, j.ID)
+		return j.Size, v
+	})
+	return ids
+}
+
+func TestTiers(t *testing.T) {
+	q := New(cowslipbend.Minute)
+	add(q, "spare", "a", cowslipbend.Spare, 0)
+	add(q, "normal", "a", "", 1)
+	add(q, "urgent", "a", cowslipbend.Urgent, 2)
+	assert.DeepEqual(t, served(q, 10, Placed), []cowslipbend.JobID{"urgent", "normal", "spare"})
+}
+
+func TestAgeing(t *testing.T) {
+	q := New(cowslipbend.Minute)
+	add(q, "spare", "a", cowslipbend.Spare, 0)
+	add(q, "normal", "a", "", 50000)
+	assert.DeepEqual(t, served(q, 55000, Placed), []cowslipbend.JobID{"normal", "spare"})
+	add(q, "late", "a", "", 61000)
+	assert.DeepEqual(t, served(q, 65000, Placed), []cowslipbend.JobID{"normal", "spare", "late"})
+}
+
+func TestSharesAreWeighted(t *testing.T) {
+	q := New(cowslipbend.Minute)
+	q.Declare([]cowslipbend.Team{{Name: "a", Share: 2}, {Name: "b"}})
+	for _, id := range []string{"1", "2", "3", "4"} {
+		add(q, "a"+id, "a", "", 0)
+		add(q, "b"+id, "b", "", 0)
+	}
+	assert.DeepEqual(t, served(q, 10, Placed), []cowslipbend.JobID{"a1", "b1", "a2", "a3", "b2", "a4", "b3", "b4"})
+	assert.Equal(t, q.Used("a"), cpu(0))
+}
+
+func TestQuota(t *testing.T) {
+	q := New(cowslipbend.Minute)
+	q.Declare([]cowslipbend.Team{{Name: "a", Quota: cpu(2)}})
+	for _, id := range []string{"1", "2", "3"} {
+		add(q, id, "a", "", 0)
+	}
+	assert.Equal(t, len(served(q, 10, Placed)), 2)
+	q.Charge("a", cpu(1))
+	assert.Equal(t, len(served(q, 10, Placed)), 1)
+	q.Refund("a", cpu(1))
+	assert.Equal(t, len(served(q, 10, Placed)), 2)
+}
+
+func TestBackoffAndRemoval(t *testing.T) {
+	q := New(cowslipbend.Minute)
+	j := &cowslipbend.Job{ID: "a", Team: "a", Tasks: 2, Size: cpu(1)}
+	first, second := Item{Task: "a/0", Since: 5, Ready: 1000}, Item{Task: "a/1", Since: 6, Ready: 6}
+	q.Add(j, 0, first)
+	q.Add(j, 0, second)
+	assert.Equal(t, len(served(q, 10, Placed)), 1)
+	assert.Equal(t, len(served(q, 1000, Placed)), 2)
+	assert.Equal(t, len(served(q, 1000, Blocked)), 1)
+	assert.Equal(t, len(served(q, 1000, Passed)), 2)
+	assert.Equal(t, len(served(q, 1000, Stopped)), 1)
+	q.Remove(j, first)
+	assert.Equal(t, q.Waiting("a"), 1)
+	q.Remove(j, second)
+	assert.Equal(t, q.Len(), 0)
+	assert.Equal(t, len(served(q, 1000, Placed)), 0)
+}
