throttler: cut by as much as a tail is too long

Cause: on the model a worker whose jobs all declared too little was filled with seven tasks of the harmful class and its service took 24 times as long; halving once in two seconds took six seconds to bring that down. Change: the cut is to the part of the share by which the tail is too long, at most a half. Figures: TestFarTooLate, a tail three times too long gives 32% at once.

--- a/throttler/guard.go
+++ b/throttler/guard.go
@@ -204,15 +204,16 @@
 
 func (g *Guard) act(now cowslipbend.Time) { g.acted, g.started = now, true }
 
-// lower halves the share of the most harmful class that is above its floor,
-// and of all to blame if a tail is beyond its objective. It reports whether it
-// lowered any.
+// lower cuts the share of the most harmful class that is above its floor, and
+// of all to blame if a tail is beyond its objective: by half, or by as much as
+// the tail is too long. It reports whether it lowered any.
 func (g *Guard) lower(v *view, pressure int) bool {
 	lowered := false
+	part := min(whole/2, whole*whole/pressure)
 	for _, c := range g.blamed(v, true) {
 		for _, s := range v.batch {
 			if p := g.percent(s); s.Class == c && p > g.opts.Floor {
-				g.levels[s.Task] = level{s.Attempt, s.Class, max(g.opts.Floor, p/2)}
+				g.levels[s.Task] = level{s.Attempt, s.Class, max(g.opts.Floor, p*part/whole)}
 				lowered = true
 			}
 		}
--- a/throttler/guard_test.go
+++ b/throttler/guard_test.go
@@ -137,6 +137,14 @@
 	assert.Equal(t, len(b.evicts), 1)
 }
 
+// TestFarTooLate asserts that the cut is larger the longer the tail is.
+func TestFarTooLate(t *testing.T) {
+	b := newBench(Throttle, task("a/0", "netting", 8*cowslipbend.Core))
+	b.tail, b.noise = 10, 1.4
+	b.look()
+	assert.Equal(t, b.percents()["a/0"], 32)
+}
+
 // TestDeaf asserts that a measurement made before the last action had settled
 // leads to nothing.
 func TestDeaf(t *testing.T) {
