--- a/router/policy.go
+++ b/router/policy.go
@@ -53,28 +53,38 @@
 	return best
 }
 
-// adaptive picks the cheapest of a few random candidates.
+// adaptive picks the cheapest of some random candidates.
 type adaptive struct{}
 
 // Parameters of the adaptive policy.
 const (
-	choices    = 3
-	farCost    = 1500 // microseconds one way to another domain
-	baseMicros = 500  // latency assumed of an unmeasured candidate
+	choices    = 16   // candidates that are compared; up to this count, all
+	farMicros  = 3000 // to another domain and back, assumed until measured
+	baseMicros = 500  // time of an answer, assumed until measured
+	fullFactor = 4    // cost of a candidate without a free slot
+	errorScale = 100  // per mille of failures that double the cost
 )
 
 // Name returns the policy's name.
 func (adaptive) Name() string { return "adaptive" }
 
-// Pick draws a few candidates and returns the cheapest.
+// Pick draws candidates and returns the cheapest. One that is due for a probe
+// goes first.
 func (adaptive) Pick(n int, at func(int) cowslipbend.Candidate, rnd *rand.Rand) int {
 	best, least := -1, int64(0)
-	for range min(choices, n) {
-		i := offset(n, rnd)
+	start := offset(n, rnd)
+	for k := range min(choices, n) {
+		i := (start + k) % n
+		if n > choices {
+			i = offset(n, rnd)
+		}
 		c := at(i)
 		if c.Tried || c.Ejected {
 			continue
 		}
+		if c.Probe {
+			return i
+		}
 		if cost := cost(c); best < 0 || cost < least {
 			best, least = i, cost
 		}
@@ -85,20 +95,19 @@
 	return first(n, rnd, func(i int) bool { return !at(i).Tried })
 }
 
-// cost estimates the time of an answer in microseconds. Failures count as
-// slowness, so that an endpoint that fails fast attracts nothing.
+// cost estimates the time of an answer in microseconds. The measured time
+// holds the way to another domain, so a far candidate is chosen when it is
+// cheaper than the near ones. Failures count as slowness.
 func cost(c cowslipbend.Candidate) int64 {
 	micros := max(c.Latency, baseMicros)
-	load := int64(c.Inflight+1) * micros / int64(max(c.Slots, 1))
-	total := micros + load
-	if c.Inflight >= c.Slots {
-		total *= 4
+	if c.Latency == 0 && !c.Near {
+		micros += farMicros
 	}
-	total += total * int64(c.Errors) / 100
-	if !c.Near {
-		total += 2 * farCost
+	total := micros + int64(c.Inflight+1)*micros/int64(max(c.Slots, 1))
+	if c.Inflight >= c.Slots {
+		total *= fullFactor
 	}
-	return total
+	return total + total*int64(c.Errors)/errorScale
 }
 
 func offset(n int, rnd *rand.Rand) int {
