--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -49,6 +51,10 @@
 		f.refuse(w, a.Service, err)
 		return
 	}
+	if err := whole(r); err != nil {
+		f.refuse(w, a.Service, err)
+		return
+	}
 	ticket, err := f.gate.Accept(a.Request)
 	if err != nil {
 		f.refuse(w, a.Service, err)
@@ -57,6 +63,23 @@
 	f.run(w, r, a, ticket)
 }
 
+// maxWhole bounds a body that is read before the request is accepted.
+const maxWhole = 256 << 10 // bytes
+
+// whole reads a body of moderate known length, so that a request that breaks
+// off on its way takes no slot and certainly does not run.
+func whole(r *http.Request) error {
+	if r.ContentLength <= 0 || r.ContentLength > maxWhole {
+		return nil
+	}
+	data := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, data); err != nil {
+		return cowslipbend.Failf(cowslipbend.KindDown, err, "send the request again", "request broke off on its way")
+	}
+	r.Body = io.NopCloser(bytes.NewReader(data))
+	return nil
+}
+
 // refuse tells a refusal. Only an id that was accepted before leaves open
 // whether it ran.
 func (f *Forwarder) refuse(w http.ResponseWriter, service cowslipbend.ServiceID, err error) {
@@ -66,7 +89,7 @@
 	}
 	w.Header().Set(cowslipbend.HeaderOutcome, string(outcome))
 	f.state(w.Header(), service)
-	server.WriteError(w, cowslipbend.AsError(err))
+	server.WriteError(w, server.Join(err))
 }
 
 // state adds the service's state and a fresh token to an answer.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -10,6 +10,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -149,6 +150,21 @@
 	return nil
 }
 
+// Join returns one error that tells all faults of a list, with the kind of the
+// first.
+func Join(err error) *cowslipbend.Error {
+	list, ok := errors.AsType[cowslipbend.Errors](err)
+	if !ok || len(list) < 2 {
+		return cowslipbend.AsError(err)
+	}
+	whats, remedies := make([]string, len(list)), make([]string, len(list))
+	for i, e := range list {
+		whats[i] = strings.TrimPrefix(e.Path+": "+e.What, ": ")
+		remedies[i] = e.Remedy
+	}
+	return cowslipbend.Fail(list[0].Kind, strings.Join(whats, "; "), strings.Join(remedies, "; "))
+}
+
 // WriteError answers with the error as JSON and the status of its kind.
 func WriteError(w http.ResponseWriter, e *cowslipbend.Error) {
 	w.Header().Set("Content-Type", "application/json")
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -53,8 +53,8 @@
 		b, kept := old[m]
 		if !kept {
 			b = &bucket{limit: m, tokens: rate.NewLimiter(0, 0), demand: demand{peers: map[cowslipbend.EntryID]heard{}}}
-			b.share(1 / float64(l.entries))
-			b.fill(l.now())
+			b.share(l.now(), 1/float64(l.entries))
+			b.fill()
 		}
 		l.buckets = append(l.buckets, b)
 	}
@@ -64,19 +64,18 @@
 func (l *Limiter) now() time.Time { return time.UnixMilli(int64(l.clock.Now())) }
 
 // share sets the part of the limit that this entry admits.
-func (b *bucket) share(part float64) {
+func (b *bucket) share(now time.Time, part float64) {
 	burst := b.limit.Burst
 	if burst == 0 {
 		burst = b.limit.Rate
 	}
-	b.tokens.SetLimit(rate.Limit(b.limit.Rate * part))
-	b.tokens.SetBurst(max(int(burst*part), 1))
+	b.tokens.SetLimitAt(now, rate.Limit(b.limit.Rate*part))
+	b.tokens.SetBurstAt(now, max(int(burst*part), 1))
 }
 
 // fill gives a new bucket its whole burst.
-func (b *bucket) fill(now time.Time) {
+func (b *bucket) fill() {
 	b.tokens = rate.NewLimiter(b.tokens.Limit(), b.tokens.Burst())
-	b.tokens.AllowN(now, 0)
 }
 
 // Admit takes a token of every limit that covers the request, or none and
--- a/limiter/share.go
+++ b/limiter/share.go
@@ -10,11 +10,13 @@
 const (
 	// floor is the part of a limit that is shared out evenly, so that an entry
 	// whose callers come back can admit some at once.
-	floor = 0.2
+	floor = 0.1
 	// weight is that of the newest window in the demand of an entry.
 	weight = 0.5
-	// fade is the age at which a peer's word counts half.
-	fade = cowslipbend.Second
+	// fresh is the age up to which a peer's word counts whole, and fade the
+	// time in which it halves after that.
+	fresh = 3 * cowslipbend.Second / 2
+	fade  = cowslipbend.Second
 )
 
 // Count is what one entry's callers want of a limit, in requests a second.
@@ -77,7 +79,7 @@
 		}
 		b.wanted, b.admitted = 0, 0
 		b.demand.forget(peers)
-		b.share(b.demand.part(now, peers))
+		b.share(l.now(), b.demand.part(now, peers))
 	}
 }
 
@@ -98,7 +100,7 @@
 	n := float64(len(peers) + 1)
 	sum, weights := d.own, 1.0
 	for _, h := range d.peers {
-		w := math.Exp2(-float64(now.Sub(h.at)) / float64(fade))
+		w := math.Exp2(-float64(max(now.Sub(h.at)-fresh, 0)) / float64(fade))
 		sum += h.wanted * w
 		weights += w
 	}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -34,7 +34,9 @@
 	Set() (cowslipbend.Revision, *cowslipbend.Set)
 }
 
-// Count is told the outcome of each request, but for watches that ran.
+// Count is told the outcome of each request and the time until its answer
+// began. An answer with a status of 500 or above has KindBroken, one that
+// broke off the kind of what broke it.
 type Count func(service cowslipbend.ServiceID, outcome cowslipbend.Outcome, kind cowslipbend.Kind, took time.Duration)
 
 // Receiver serves callers.
@@ -65,13 +67,21 @@
 
 func (r *Receiver) serve(c echo.Context) error {
 	began := time.Now()
+	var answered time.Time
+	c.Response().Before(func() { answered = time.Now() })
 	req, err := r.handle(c)
-	outcome := cowslipbend.Ran
-	if err != nil {
-		outcome = router.OutcomeOf(err)
+	if answered.IsZero() {
+		answered = time.Now()
+	}
+	outcome, kind := cowslipbend.Ran, cowslipbend.Kind("")
+	switch {
+	case err != nil:
+		outcome, kind = router.OutcomeOf(err), cowslipbend.KindOf(err)
+	case c.Response().Status >= http.StatusInternalServerError:
+		kind = cowslipbend.KindBroken
 	}
-	if err != nil || !req.Watch {
-		r.count(req.Service, outcome, cowslipbend.KindOf(err), time.Since(began))
+	if c.Request().Context().Err() == nil { // Else the caller went away, which is nobody's failure.
+		r.count(req.Service, outcome, kind, answered.Sub(began))
 	}
 	if err != nil {
 		r.fail(c.Response(), outcome, err)
@@ -141,7 +151,7 @@
 
 // refuse marks an error as certain not to have run.
 func refuse(err error) error {
-	return &router.Failure{Outcome: cowslipbend.NotRun, Err: cowslipbend.AsError(err)}
+	return &router.Failure{Outcome: cowslipbend.NotRun, Err: server.Join(err)}
 }
 
 // run sends the request on. A non-idempotent one that the limits refuse may
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -10,6 +10,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 
@@ -33,7 +34,7 @@
 
 func reply(w http.ResponseWriter, err error) {
 	if err != nil {
-		server.WriteError(w, cowslipbend.AsError(err))
+		server.WriteError(w, server.Join(err))
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -55,5 +56,8 @@
 	if err := dec.Decode(&a); err != nil {
 		return a, cowslipbend.Failf(cowslipbend.KindInvalid, err, "send JSON with id, service, url, slots and conns", "announcement does not decode")
 	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return a, cowslipbend.Fail(cowslipbend.KindInvalid, "announcement is followed by more", "send one announcement in a request")
+	}
 	return a, a.Check()
 }
--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,72 @@
+package registrar_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/gater"
+	"cowslipbend.dev/registrar"
+	"cowslipbend.dev/timer"
+)
+
+const good = `{"id":"e","service":"s","url":"http://127.0.0.1:1","slots":8,"conns":64}`
+
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{
+		good, `{}`, ``, `{"id":"e"`, `{"id":1}`, good + good, `{"extra":1}`,
+		`{"id":"e","service":"s","url":"ftp://x","slots":-1,"conns":99999999}`,
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		a, err := registrar.Decode(strings.NewReader(text))
+		if err == nil {
+			assert.NilError(t, a.Check())
+			return
+		}
+		for _, e := range faults(err) {
+			assert.Equal(t, e.Kind, cowslipbend.KindInvalid)
+			assert.Assert(t, e.Remedy != "")
+		}
+	})
+}
+
+func faults(err error) cowslipbend.Errors {
+	var l cowslipbend.Errors
+	l.Add(err)
+	return l
+}
+
+func TestProtocol(t *testing.T) {
+	gate := gater.New("l", &timer.Manual{}, gater.Defaults())
+	mux := http.NewServeMux()
+	registrar.Register(mux, gate)
+	send := func(method, path, body string) int {
+		w := httptest.NewRecorder()
+		mux.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+		return w.Code
+	}
+	t.Run("refuses bad input and changes nothing", func(t *testing.T) {
+		for _, body := range []string{``, `{"id":"e"`, good[:len(good)-1] + `,"more":1}`, good + "x", strings.Repeat(" ", 1<<20) + good, `{"id":2}`} {
+			assert.Equal(t, send(http.MethodPost, "/announce", body), http.StatusBadRequest, "%.80q", body)
+		}
+		assert.Equal(t, len(gate.Endpoints()), 0)
+		w := httptest.NewRecorder()
+		mux.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/announce", strings.NewReader(`{"id":"e","service":"s"}`)))
+		for _, fault := range []string{"url", "slots", "conns"} {
+			assert.Assert(t, strings.Contains(w.Body.String(), fault), "all faults are told at once: %s", w.Body)
+		}
+		assert.Equal(t, send(http.MethodDelete, "/announce/e", ""), http.StatusNotFound)
+	})
+	t.Run("announces and withdraws", func(t *testing.T) {
+		assert.Equal(t, send(http.MethodPost, "/announce", good), http.StatusNoContent)
+		assert.Equal(t, len(gate.Endpoints()), 1)
+		assert.Equal(t, send(http.MethodDelete, "/announce/e", ""), http.StatusNoContent)
+		assert.Assert(t, gate.Endpoints()[0].Leaving)
+	})
+}
--- a/tracker/health.go
+++ b/tracker/health.go
@@ -31,6 +31,7 @@
 	errors  int64            // per mille
 	samples int
 	out     bool
+	probing bool             // a probe is on its way
 	until   cowslipbend.Time // when the next probe is due, while out
 	span    cowslipbend.Span // the length of the present ejection
 }
@@ -61,8 +62,13 @@
 	return failed && h.samples >= ejectSamples && h.errors >= ejectErrors
 }
 
-// probed takes the answer to a probe.
+// probed takes the answer to a probe. Answers to requests that were sent
+// before the ejection say nothing new.
 func (h *health) probed(now cowslipbend.Time, micros int64, failed bool) {
+	if !h.probing {
+		return
+	}
+	h.probing = false
 	if failed {
 		h.span = min(2*h.span, lastEjection)
 		h.until = now.Add(h.span)
@@ -98,7 +104,7 @@
 func (h *health) eject(now cowslipbend.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.out = true
+	h.out, h.probing = true, false
 	h.span = firstEjection
 	h.until = now.Add(h.span)
 }
@@ -109,6 +115,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.out && now >= h.until {
+		h.probing = true
 		h.until = now.Add(h.span)
 	}
 }
