--- a/gater/endpoint.go
+++ b/gater/endpoint.go
@@ -46,6 +46,7 @@
 	Announcement
 	seen     cowslipbend.Time
 	leaving  bool
+	silent   bool
 	inflight int   // slots taken
 	open     int   // connections taken; at least inflight
 	latency  int64 // microseconds, smoothed
@@ -55,7 +56,7 @@
 // fits reports whether one more request can run. A watch takes a connection
 // but no slot, any other request takes both.
 func (e *endpoint) fits(watch bool) bool {
-	return e.open < e.Conns && (watch || e.inflight < e.Slots)
+	return !e.leaving && !e.silent && e.open < e.Conns && (watch || e.inflight < e.Slots)
 }
 
 func (e *endpoint) take(watch bool) {
@@ -117,6 +118,7 @@
 	}
 	ep.Announcement = a
 	ep.seen = g.clock.Now()
+	ep.silent = false
 	return nil
 }
 
@@ -133,7 +135,8 @@
 	return nil
 }
 
-// Sweep drops endpoints that have been silent for the span and are idle.
+// Sweep stops new requests to endpoints that have been silent for the span,
+// until they announce themselves again, and drops those that are idle.
 func (g *Gate) Sweep(silence cowslipbend.Span) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -142,7 +145,7 @@
 		if now.Sub(ep.seen) <= silence {
 			continue
 		}
-		ep.leaving = true
+		ep.silent = true
 		if ep.open == 0 {
 			delete(g.byID, id)
 		}
@@ -158,7 +161,7 @@
 			continue
 		}
 		known = true
-		if ep.leaving || !ep.fits(watch) {
+		if !ep.fits(watch) {
 			continue
 		}
 		if best == nil || ep.room(watch) > best.room(watch) {
@@ -196,7 +199,7 @@
 			Open:         ep.open,
 			Latency:      ep.latency,
 			Errors:       ep.errors,
-			Leaving:      ep.leaving || g.leaving,
+			Leaving:      ep.leaving || ep.silent || g.leaving,
 		})
 	}
 	sort.Slice(states, func(i, j int) bool { return states[i].ID < states[j].ID })
@@ -220,7 +223,7 @@
 		sum.Open += ep.open
 		sum.Latency += ep.latency
 		sum.Errors += ep.errors
-		sum.Leaving = sum.Leaving && (ep.leaving || g.leaving)
+		sum.Leaving = sum.Leaving && (ep.leaving || ep.silent || g.leaving)
 	}
 	if n > 0 {
 		sum.Latency /= n
--- a/gater/gate_test.go
+++ b/gater/gate_test.go
@@ -89,6 +89,24 @@
 	assertKind(t, err, cowslipbend.KindBusy)
 }
 
+func TestSweep(t *testing.T) {
+	g, clock := newGate(t, 2)
+	ticket, err := g.Accept(request(g, "a"))
+	assert.NilError(t, err)
+	clock.Advance(cowslipbend.Second)
+	g.Sweep(cowslipbend.Second / 2)
+	_, err = g.Accept(request(g, "b"))
+	assertKind(t, err, cowslipbend.KindBusy)
+	assert.NilError(t, g.Announce(gater.Announcement{ID: "e", Service: "s", URL: "http://127.0.0.1:1", Slots: 2, Conns: 64}))
+	_, err = g.Accept(request(g, "b"))
+	assert.NilError(t, err, "it is heard again")
+	ticket.Unrun()
+	assert.NilError(t, g.Withdraw("e"))
+	assert.NilError(t, g.Announce(gater.Announcement{ID: "e", Service: "s", URL: "http://127.0.0.1:1", Slots: 2, Conns: 64}))
+	_, err = g.Accept(request(g, "c"))
+	assertKind(t, err, cowslipbend.KindBusy)
+}
+
 func TestVoid(t *testing.T) {
 	t.Run("cannot know of an earlier life", func(t *testing.T) {
 		g, _ := newGate(t, 1)
--- a/router/system_test.go
+++ b/router/system_test.go
@@ -57,6 +57,7 @@
 	endpoint *httptest.Server
 	relay    *relay.Relay
 	serve    func(w http.ResponseWriter, r *http.Request)
+	lives    int // of the endpoint
 
 	mu   sync.Mutex
 	runs map[string]int // by caller's id or path
@@ -120,10 +121,22 @@
 	s.hosts = append(s.hosts, h)
 }
 
+// replace withdraws the endpoint and announces a new one.
+func (h *host) replace(t testing.TB) {
+	t.Helper()
+	assert.NilError(t, h.gate.Withdraw(h.announced()))
+	h.lives++
+	h.announce(t, 8, 64)
+}
+
+func (h *host) announced() cowslipbend.EndpointID {
+	return cowslipbend.EndpointID(fmt.Sprintf("e-%s-%d", h.id, h.lives))
+}
+
 func (h *host) announce(t testing.TB, slots, conns int) {
 	t.Helper()
 	assert.NilError(t, h.gate.Announce(gater.Announcement{
-		ID: cowslipbend.EndpointID("e-" + h.id), Service: "s", URL: h.endpoint.URL, Slots: slots, Conns: conns,
+		ID: h.announced(), Service: "s", URL: h.endpoint.URL, Slots: slots, Conns: conns,
 	}))
 }
 
