entry: ready only once the agents have been heard

Cause: a new entry was ready as soon as it had a configuration, and refused what the balancer sent it until the agents' heartbeats came.

--- a/entry/runner/run.go
+++ b/entry/runner/run.go
@@ -40,6 +40,7 @@
 	peerSilence  = 3 * cowslipbend.Second
 	agentSilence = 3 * cowslipbend.Second
 	closeTimeout = 2 * cowslipbend.Second
+	warmTime     = 4 * cowslipbend.Second // in which agents find a new entry
 	trimPeriod   = cowslipbend.Minute
 )
 
@@ -64,6 +65,7 @@
 	main     *server.Server
 	http     *http.Client
 	leaving  atomic.Bool
+	began    cowslipbend.Time
 	joined   atomic.Bool
 	killed   chan struct{}
 }
@@ -87,7 +89,7 @@
 		settings: s, clock: clock, log: log, life: cowslipbend.Incarnation(cowslipbend.DrawID()),
 		store: storer.New(s.Store, storeTimeout), track: tracker.New(clock, s.Domain),
 		config: publisher.NewHolder(s.Secret, log), limits: limiter.New(clock), http: dialer.Pooled(s.Secret),
-		killed: make(chan struct{}),
+		killed: make(chan struct{}), began: clock.Now(),
 	}
 	e.configs = publisher.Store{Table: e.store, Objects: e.store.Objects()}
 	policy, err := router.Policy(s.Routing)
@@ -151,6 +153,9 @@
 	return mux
 }
 
+// ready tells the balancer whether to send callers. A new entry waits until it
+// has heard the agents of each declared service, or for as long as they take
+// to find it: until then it would refuse what others can serve.
 func (e *Entry) ready() error {
 	if e.leaving.Load() {
 		return cowslipbend.Fail(cowslipbend.KindLeaving, "entry is shutting down", "send callers to another entry")
@@ -158,9 +163,25 @@
 	if e.config.Revision() == 0 {
 		return cowslipbend.Fail(cowslipbend.KindDown, "no configuration is in force", "publish one, or wait for the store")
 	}
+	if e.clock.Now().Sub(e.began) < warmTime && !e.served() {
+		return cowslipbend.Fail(cowslipbend.KindDown, "agents have not been heard yet", "wait a few seconds")
+	}
 	return nil
 }
 
+// served reports whether as many agents as there are replicas were heard of
+// each declared service.
+func (e *Entry) served() bool {
+	_, set := e.config.Set()
+	for i := range set.Services {
+		s := &set.Services[i]
+		if len(e.track.Targets(s.Name)) < s.Replicas {
+			return false
+		}
+	}
+	return true
+}
+
 // LiveEntries returns the ids of the live entries, this one included unless
 // it is leaving.
 func (e *Entry) LiveEntries() []cowslipbend.EntryID {
--- a/router/model_test.go
+++ b/router/model_test.go
@@ -25,7 +25,7 @@
 	modelWork    = 4000 // mean time of a request
 	modelFar     = 1500 // one way between domains
 	modelNear    = 50
-	modelRetry   = 1000 // until a refused request is placed again
+	modelRetry   = 1000      // until a refused request is placed again
 	modelFor     = 2_000_000 // in which figures are taken
 	modelWarm    = 1_000_000 // before that
 	modelSettle  = 5_000_000 // the same with a worker that fails everything
