tracker, router: read the clock once per choice

Cause: each look at a candidate read the system's clock and took its lock twice. Change: the moment is passed in, and one lock covers the estimates.

--- a/router/model_test.go
+++ b/router/model_test.go
@@ -130,7 +130,7 @@
 func (m *model) place(entry int, began int64, tried []int) {
 	targets := m.entries[entry].Targets("s")
 	i := m.policy.Pick(len(targets), func(i int) cowslipbend.Candidate {
-		c := targets[i].Candidate(false)
+		c := targets[i].Candidate(m.clock.Now(), false)
 		c.Tried = slices.Contains(tried, i)
 		return c
 	}, m.rnd)
--- a/router/place.go
+++ b/router/place.go
@@ -59,23 +59,23 @@
 // none, the first target that does is taken instead.
 func (r *Router) pick(req *Request, tried *tries) (t *tracker.Target, room bool) {
 	targets := r.tracker.Targets(req.Service)
-	i := r.policy.Pick(len(targets), func(i int) cowslipbend.Candidate {
-		c := targets[i].Candidate(req.Watch)
+	now := r.clock.Now()
+	at := func(i int) cowslipbend.Candidate {
+		c := targets[i].Candidate(now, req.Watch)
 		c.Tried = c.Tried || tried.has(targets[i])
 		return c
-	}, r.opts.Random)
+	}
+	i := r.policy.Pick(len(targets), at, r.opts.Random)
 	if i < 0 {
 		return nil, false
 	}
-	c := targets[i].Candidate(req.Watch)
-	if c.Inflight < c.Slots {
+	if c := at(i); c.Inflight < c.Slots {
 		return targets[i], true
 	}
 	for k := range targets {
-		other := targets[(i+k)%len(targets)]
-		c := other.Candidate(req.Watch)
-		if !c.Tried && !c.Ejected && !tried.has(other) && c.Inflight < c.Slots {
-			return other, true
+		j := (i + k) % len(targets)
+		if c := at(j); !c.Tried && !c.Ejected && c.Inflight < c.Slots {
+			return targets[j], true
 		}
 	}
 	return targets[i], false
@@ -112,8 +112,9 @@
 // free counts the slots that are free, as far as is known.
 func (r *Router) free(service cowslipbend.ServiceID) int {
 	n := 0
+	now := r.clock.Now()
 	for _, t := range r.tracker.Targets(service) {
-		if c := t.Candidate(false); !c.Tried && !c.Ejected {
+		if c := t.Candidate(now, false); !c.Tried && !c.Ejected {
 			n += max(c.Slots-c.Inflight, 0)
 		}
 	}
@@ -124,8 +125,9 @@
 // whose slots are all taken.
 func (r *Router) pace(service cowslipbend.ServiceID) int64 {
 	slots, sum, n := int64(0), int64(0), int64(0)
+	now := r.clock.Now()
 	for _, t := range r.tracker.Targets(service) {
-		c := t.Candidate(false)
+		c := t.Candidate(now, false)
 		slots += int64(c.Slots)
 		sum += c.Latency
 		n++
--- a/tracker/health.go
+++ b/tracker/health.go
@@ -92,12 +92,13 @@
 	h.latency >>= shift
 }
 
-// read returns the estimates at the moment.
-func (h *health) read(now cowslipbend.Time) (latency int64, errors int) {
+// fill sets the estimates at the moment.
+func (h *health) fill(now cowslipbend.Time, c *cowslipbend.Candidate) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	shift := min(max(int64(now.Sub(h.at)/halfLife), 0), maxHalvings)
-	return h.latency >> shift, int(h.errors >> shift)
+	c.Latency, c.Errors = h.latency>>shift, int(h.errors>>shift)
+	c.Ejected, c.Probe = h.out && now < h.until, h.out && now >= h.until
 }
 
 // eject starts an ejection.
@@ -120,13 +121,6 @@
 	}
 }
 
-// ejected reports whether the target is out, and whether a probe is due.
-func (h *health) ejected(now cowslipbend.Time) (out, due bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.out && now < h.until, h.out && now >= h.until
-}
-
 // eject takes a target out unless half of the service's targets are out
 // already, or all of them fail alike.
 func (t *Tracker) eject(bad *Target) {
@@ -134,13 +128,13 @@
 	now := t.clock.Now()
 	out, sum := 0, 0
 	for _, other := range list {
-		_, errors := other.health.read(now)
-		sum += errors
-		if gone, due := other.health.ejected(now); gone || due {
+		c := other.Candidate(now, false)
+		sum += c.Errors
+		if c.Ejected || c.Probe {
 			out++
 		}
 	}
-	_, errors := bad.health.read(now)
+	errors := bad.Candidate(now, false).Errors
 	if 2*(out+1) > len(list) || errors*len(list) < ejectOutlier*sum {
 		return
 	}
--- a/tracker/target.go
+++ b/tracker/target.go
@@ -82,10 +82,9 @@
 	}
 }
 
-// Candidate returns what a routing policy sees. For a watch the connections
-// stand in for the slots.
-func (t *Target) Candidate(watch bool) cowslipbend.Candidate {
-	now := t.tracker.clock.Now()
+// Candidate returns what a routing policy sees at the moment. For a watch the
+// connections stand in for the slots.
+func (t *Target) Candidate(now cowslipbend.Time, watch bool) cowslipbend.Candidate {
 	c := cowslipbend.Candidate{
 		Slots: int(t.slots.Load()), Inflight: int(t.plain.Load() + t.others.Load()),
 		Near: t.Near, Tried: t.leaving.Load(),
@@ -94,12 +93,6 @@
 		c.Slots = int(t.conns.Load())
 		c.Inflight = int(t.plain.Load() + t.watches.Load() + t.open.Load())
 	}
-	c.Latency, c.Errors = t.health.read(now)
-	c.Ejected, c.Probe = t.health.ejected(now)
+	t.health.fill(now, &c)
 	return c
 }
-
-// Free reports whether a plain request would find a slot, as far as is known.
-func (t *Target) Free() bool {
-	return !t.leaving.Load() && t.plain.Load()+t.others.Load() < t.slots.Load()
-}
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -81,22 +81,22 @@
 		track, clock := newTracker(4)
 		bad := track.Targets("s")[0]
 		fail(bad, 20)
-		assert.Assert(t, bad.Candidate(false).Ejected)
+		assert.Assert(t, bad.Candidate(clock.Now(), false).Ejected)
 		clock.Advance(cowslipbend.Second)
-		assert.Assert(t, bad.Candidate(false).Probe)
+		assert.Assert(t, bad.Candidate(clock.Now(), false).Probe)
 		bad.Begin(false)
-		assert.Assert(t, !bad.Candidate(false).Probe, "one probe at a time")
+		assert.Assert(t, !bad.Candidate(clock.Now(), false).Probe, "one probe at a time")
 		bad.End(tracker.Result{Micros: 100, Failed: true})
 		clock.Advance(cowslipbend.Second)
-		assert.Assert(t, bad.Candidate(false).Ejected, "a failed probe doubles the time")
+		assert.Assert(t, bad.Candidate(clock.Now(), false).Ejected, "a failed probe doubles the time")
 		clock.Advance(cowslipbend.Second)
 		bad.Begin(false)
 		bad.End(tracker.Result{Micros: 100})
-		c := bad.Candidate(false)
+		c := bad.Candidate(clock.Now(), false)
 		assert.Assert(t, !c.Ejected && !c.Probe && c.Errors == 0)
 	})
 	t.Run("spares half of the targets", func(t *testing.T) {
-		track, _ := newTracker(4)
+		track, clock := newTracker(4)
 		out := 0
 		for range 3 {
 			for _, target := range track.Targets("s") {
@@ -104,19 +104,19 @@
 			}
 		}
 		for _, target := range track.Targets("s") {
-			if target.Candidate(false).Ejected {
+			if target.Candidate(clock.Now(), false).Ejected {
 				out++
 			}
 		}
 		assert.Assert(t, out <= 2, "%d ejected", out)
 	})
 	t.Run("does not follow from fast failures looking quick", func(t *testing.T) {
-		track, _ := newTracker(2)
+		track, clock := newTracker(2)
 		good, bad := track.Targets("s")[0], track.Targets("s")[1]
 		good.Begin(false)
 		good.End(tracker.Result{Micros: 4000})
 		fail(bad, 1)
-		assert.Assert(t, bad.Candidate(false).Latency > good.Candidate(false).Latency)
+		assert.Assert(t, bad.Candidate(clock.Now(), false).Latency > good.Candidate(clock.Now(), false).Latency)
 	})
 }
 
