cowslip: open the listeners of a session's worker and agent before either runs

Cause: a session failed in one of 4 runs with 'address already in use': it took a port that was free a moment before, and another session got it. Change: the worker's server listens first and gets its handler later, the agent picks its own port, and only then both run.

--- a/cowslip/system_test.go
+++ b/cowslip/system_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -100,13 +99,18 @@
 	t.Helper()
 	srv, err := server.Listen(loopback, h)
 	assert.NilError(t, err)
+	s.run(ctx, srv)
+	return srv
+}
+
+// run runs a server until the context ends.
+func (s *system) run(ctx context.Context, srv *server.Server) {
 	s.group.Go(srv.Run)
 	s.group.Go(func() error {
 		<-ctx.Done()
 		srv.Close()
 		return nil
 	})
-	return srv
 }
 
 func (s *system) entry(ctx context.Context, t testing.TB, i int) {
@@ -122,33 +126,32 @@
 	s.group.Go(func() error { return e.Run(ctx) })
 }
 
+// worker starts a worker and its agent, each of which needs the address of the
+// other: both listeners are open before either runs.
 func (s *system) worker(ctx context.Context, t testing.TB, i int) {
 	t.Helper()
 	id := cowslipbend.WorkerID(fmt.Sprintf("w%d", i+1))
-	local := free(t)
-	opts := worker.Options{
-		ID: id, Size: cowslipbend.Resources{CPU: 4 * cowslipbend.Core, Mem: 8 * cowslipbend.GB},
-		Agent: "http://" + local, Lag: lag, Slots: 8, Conns: 64,
-	}
-	w := worker.New(opts, timer.Host{}, s.judge, storer.New(s.store, wait).Objects(), hclog.NewNullLogger())
-	srv := s.serve(ctx, t, w.Handler())
-	s.group.Go(func() error { return w.Run(ctx) })
+	handler := &lateHandler{}
+	srv, err := server.Listen(loopback, handler)
+	assert.NilError(t, err)
 	set := agent.Defaults()
 	set.ID, set.Pool, set.Domain, set.Rack = id, "ledger", domain(i), "r1"
-	set.Listen, set.Local, set.Worker, set.Entries = loopback, local, srv.URL(), s.entries
+	set.Listen, set.Local, set.Worker, set.Entries = loopback, loopback, srv.URL(), s.entries
 	set.Beat, set.Drain = cowslipbend.Second/5, cowslipbend.Second
 	a, err := agent.New(set, timer.Host{}, hclog.NewNullLogger())
 	assert.NilError(t, err)
+	opts := worker.Options{
+		ID: id, Size: cowslipbend.Resources{CPU: 4 * cowslipbend.Core, Mem: 8 * cowslipbend.GB},
+		Agent: a.LocalURL(), Lag: lag, Slots: 8, Conns: 64,
+	}
+	w := worker.New(opts, timer.Host{}, s.judge, storer.New(s.store, wait).Objects(), hclog.NewNullLogger())
+	handler.Handler = w.Handler()
+	s.run(ctx, srv)
+	s.group.Go(func() error { return w.Run(ctx) })
 	s.group.Go(func() error { return a.Run(ctx) })
 }
 
-func domain(i int) cowslipbend.Domain { return cowslipbend.Domain(fmt.Sprintf("d%d", i+1)) }
+// lateHandler is set before its server runs.
+type lateHandler struct{ http.Handler }
 
-// free returns a loopback address with a port that was free a moment ago.
-func free(t testing.TB) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", loopback)
-	assert.NilError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
-}
+func domain(i int) cowslipbend.Domain { return cowslipbend.Domain(fmt.Sprintf("d%d", i+1)) }
