tasker: ask again for unanswered starts, report what the worker lost, bound memory

Cause: a start without an answer stayed assigned for ever when the worker never got it; a task that a restarted worker had lost was never reported; a restarted agent took orders before it knew what ran; the memory of refusals only grew. Change: each poll repeats unanswered starts, which the worker takes once, and reports attempts that a later status lacks. Orders carry the newest time token that the owner has of the agent; orders older than a minute are not taken, so refusals older than two can be forgotten. Before the worker's first answer no order is taken. Seen: go test -race ./tasker.

--- a/agent/runner/calls.go
+++ b/agent/runner/calls.go
@@ -24,7 +24,7 @@
 		return nil, control.ToTwirp(cowslipbend.Fail(cowslipbend.KindStale, "order is for an earlier life of this agent", "wait for its heartbeat"))
 	}
 	epoch := cowslipbend.Epoch(r.GetEpoch())
-	if err := a.tasks.Order(epoch); err != nil {
+	if err := a.tasks.Order(epoch, cowslipbend.Time(r.GetToken())); err != nil {
 		return nil, control.ToTwirp(err)
 	}
 	reply := &control.OrderReply{}
@@ -34,12 +34,12 @@
 		}
 	}
 	for _, e := range r.GetEvicts() {
-		if err := a.tasks.Evict(ctx, epoch, cowslipbend.TaskID(e.GetTask()), cowslipbend.Attempt(e.GetAttempt())); err != nil {
+		if err := a.tasks.Evict(ctx, cowslipbend.TaskID(e.GetTask()), cowslipbend.Attempt(e.GetAttempt())); err != nil {
 			a.log.Info("eviction failed", "task", e.GetTask(), "error", err)
 		}
 	}
 	for _, e := range r.GetStops() {
-		if err := a.tasks.Stop(ctx, epoch, cowslipbend.TaskID(e.GetTask()), cowslipbend.Attempt(e.GetAttempt())); err != nil {
+		if err := a.tasks.Stop(ctx, cowslipbend.TaskID(e.GetTask()), cowslipbend.Attempt(e.GetAttempt())); err != nil {
 			a.log.Info("stop failed", "task", e.GetTask(), "error", err)
 		}
 	}
--- a/entry/runner/sender.go
+++ b/entry/runner/sender.go
@@ -6,6 +6,7 @@
 	"cowslipbend.dev"
 	"cowslipbend.dev/internal/control"
 	"cowslipbend.dev/scheduler"
+	"cowslipbend.dev/tracker"
 )
 
 // orderTimeout bounds one delivery of orders.
@@ -22,7 +23,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout.Duration())
 	defer cancel()
-	reply, err := control.NewAgentProtobufClient(a.URL, s.entry.http).Order(ctx, request(pool, epoch, a.Life, o))
+	reply, err := control.NewAgentProtobufClient(a.URL, s.entry.http).Order(ctx, request(pool, epoch, a, o))
 	if err != nil {
 		return nil, control.FromTwirp(err)
 	}
@@ -34,8 +35,8 @@
 	return list, nil
 }
 
-func request(pool cowslipbend.PoolID, epoch cowslipbend.Epoch, life cowslipbend.Incarnation, o *scheduler.Orders) *control.OrderRequest {
-	r := &control.OrderRequest{Pool: string(pool), Epoch: int64(epoch), Life: string(life)}
+func request(pool cowslipbend.PoolID, epoch cowslipbend.Epoch, a *tracker.Agent, o *scheduler.Orders) *control.OrderRequest {
+	r := &control.OrderRequest{Pool: string(pool), Epoch: int64(epoch), Life: string(a.Life), Token: int64(a.Token())}
 	for _, st := range o.Starts {
 		r.Starts = append(r.Starts, control.FromStart(st))
 	}
--- a/tasker/tasker.go
+++ b/tasker/tasker.go
@@ -15,10 +15,30 @@
 	attempt cowslipbend.Attempt
 }
 
+// mark is the newest attempt of a task that was ordered here, and when.
+type mark struct {
+	attempt cowslipbend.Attempt
+	at      cowslipbend.Time
+}
+
+// Times for which refusals are remembered. An order older than OrderAge is
+// not taken at all, so that what is older than markAge can be forgotten: no
+// late duplicate of a refused order can be taken for a new one.
+const (
+	OrderAge = cowslipbend.Minute
+	markAge  = 2 * OrderAge
+)
+
 // held is one attempt that the worker holds.
 type held struct {
 	start  cowslipbend.Start
 	status cowslipbend.TaskStatus
+	// known is set once the worker has confirmed that it has the attempt, at
+	// the moment since.
+	known bool
+	since cowslipbend.Time
+	// asking is set while the worker is being asked to start it.
+	asking bool
 }
 
 // Tasker holds the tasks of one worker. It is safe for concurrent use.
@@ -29,12 +49,14 @@
 	machine cowslipbend.Machine
 	clock   cowslipbend.Clock
 
-	mu      sync.Mutex
-	size    cowslipbend.Resources
+	mu   sync.Mutex
+	size cowslipbend.Resources
+	// asked is set once the worker has told what it holds.
+	asked   bool
 	epoch   cowslipbend.Epoch
 	until   cowslipbend.Time
 	tasks   map[cowslipbend.TaskID]*held
-	newest  map[cowslipbend.TaskID]cowslipbend.Attempt
+	newest  map[cowslipbend.TaskID]mark
 	reports map[key]cowslipbend.TaskStatus
 	usage   []cowslipbend.TaskStatus
 }
@@ -45,15 +67,25 @@
 		machine: machine,
 		clock:   clock,
 		tasks:   map[cowslipbend.TaskID]*held{},
-		newest:  map[cowslipbend.TaskID]cowslipbend.Attempt{},
+		newest:  map[cowslipbend.TaskID]mark{},
 		reports: map[key]cowslipbend.TaskStatus{},
 	}
 }
 
-// Order takes the owner's epoch. It returns KindStale for an earlier one.
-func (t *Tasker) Order(epoch cowslipbend.Epoch) error {
+// Order takes the owner's epoch and the newest moment of this host's clock
+// that the owner had heard of when it gave the order. It returns KindStale for
+// an earlier epoch or an old order, and KindDown while the worker has not yet
+// told what an earlier life of this agent left on it. None of them tells that
+// an attempt never ran.
+func (t *Tasker) Order(epoch cowslipbend.Epoch, token cowslipbend.Time) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.asked {
+		return cowslipbend.Fail(cowslipbend.KindDown, "worker has not told yet what it holds", "send the order again")
+	}
+	if t.clock.Now().Sub(token) > OrderAge {
+		return cowslipbend.Fail(cowslipbend.KindStale, "order is older than "+OrderAge.String(), "send it again after the next heartbeat")
+	}
 	return t.order(epoch)
 }
 
@@ -84,13 +116,37 @@
 	if err != nil || repeated {
 		return err
 	}
-	if err := t.machine.Start(ctx, s); err != nil {
-		t.failed(s, err)
-		return nil
-	}
+	t.ask(ctx, s)
 	return nil
 }
 
+// ask has the worker start an attempt. Without an answer the attempt stays
+// held, and the next poll asks again: the worker takes it once.
+func (t *Tasker) ask(ctx context.Context, s cowslipbend.Start) {
+	err := t.machine.Start(ctx, s)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, ok := t.tasks[s.Task]
+	if !ok || h.start.Attempt != s.Attempt {
+		return
+	}
+	h.asking = false
+	switch cowslipbend.KindOf(err) {
+	case "":
+		h.known, h.since = true, t.clock.Now()
+	case cowslipbend.KindDown, cowslipbend.KindUnknown:
+	default:
+		t.end(h, cowslipbend.TaskStatus{Failed: true, Reason: err.Error()})
+	}
+}
+
+// end turns a held attempt that the worker does not have into a report.
+func (t *Tasker) end(h *held, s cowslipbend.TaskStatus) {
+	s.Task, s.Attempt, s.Phase = h.start.Task, h.start.Attempt, cowslipbend.Queued
+	delete(t.tasks, s.Task)
+	t.reports[key{s.Task, s.Attempt}] = s
+}
+
 // reserve records the attempt before the worker is asked. It reports true for
 // the repeat of an order that was accepted: refusing that would tell the owner
 // that an attempt never ran which runs here.
@@ -118,12 +174,12 @@
 
 // admit refuses an attempt for good or makes room for it.
 func (t *Tasker) admit(s *cowslipbend.Start) error {
-	if s.Attempt <= t.newest[s.Task] {
+	if s.Attempt <= t.newest[s.Task].attempt {
 		return cowslipbend.Fail(cowslipbend.KindStale, fmt.Sprintf("attempt %d of %s is not newer", s.Attempt, s.Task), "read the pool's journal")
 	}
 	// From here on a refusal is final: a late duplicate of the order must not
 	// start what the owner has placed elsewhere.
-	t.newest[s.Task] = s.Attempt
+	t.newest[s.Task] = mark{s.Attempt, t.clock.Now()}
 	if _, runs := t.tasks[s.Task]; runs {
 		return cowslipbend.Fail(cowslipbend.KindBusy, "an earlier attempt of "+string(s.Task)+" is still here", "wait for its report")
 	}
@@ -136,23 +192,10 @@
 	if s.Service == "" {
 		s.Until = t.until
 	}
-	t.tasks[s.Task] = &held{start: *s, status: cowslipbend.TaskStatus{Task: s.Task, Attempt: s.Attempt, Size: s.Size, Phase: cowslipbend.Assigned}}
+	t.tasks[s.Task] = &held{start: *s, asking: true, status: cowslipbend.TaskStatus{Task: s.Task, Attempt: s.Attempt, Size: s.Size, Phase: cowslipbend.Assigned}}
 	return nil
 }
 
-// failed turns a start that the worker refused into a report.
-func (t *Tasker) failed(s cowslipbend.Start, cause error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if cowslipbend.KindOf(cause) == cowslipbend.KindDown {
-		return // It may run; the next status tells.
-	}
-	delete(t.tasks, s.Task)
-	t.reports[key{s.Task, s.Attempt}] = cowslipbend.TaskStatus{
-		Task: s.Task, Attempt: s.Attempt, Phase: cowslipbend.Queued, Failed: true, Reason: cause.Error(),
-	}
-}
-
 func (t *Tasker) reserved() cowslipbend.Resources {
 	var sum cowslipbend.Resources
 	for _, h := range t.tasks {
@@ -161,20 +204,14 @@
 	return sum
 }
 
-// Evict checkpoints and stops an attempt. An unknown attempt is no error, as
+// Evict checkpoints and stops an attempt, after Order was asked. An unknown attempt is no error, as
 // its report is on the way.
-func (t *Tasker) Evict(ctx context.Context, epoch cowslipbend.Epoch, task cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
-	if err := t.Order(epoch); err != nil {
-		return err
-	}
+func (t *Tasker) Evict(ctx context.Context, task cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
 	return t.machine.Evict(ctx, task, attempt)
 }
 
-// Stop ends an attempt without a checkpoint.
-func (t *Tasker) Stop(ctx context.Context, epoch cowslipbend.Epoch, task cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
-	if err := t.Order(epoch); err != nil {
-		return err
-	}
+// Stop ends an attempt without a checkpoint, after Order was asked.
+func (t *Tasker) Stop(ctx context.Context, task cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
 	return t.machine.Stop(ctx, task, attempt)
 }
 
@@ -187,35 +224,79 @@
 		return err
 	}
 	leases := t.merge(status, asked)
+	for _, s := range t.unanswered() {
+		t.ask(ctx, s)
+	}
 	if len(leases) == 0 {
 		return nil
 	}
 	return t.machine.Lease(ctx, leases)
 }
 
+// unanswered returns the starts to ask the worker for again.
+func (t *Tasker) unanswered() []cowslipbend.Start {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []cowslipbend.Start
+	for _, h := range t.tasks {
+		if h.known || h.asking {
+			continue
+		}
+		h.asking = true
+		if h.start.Service == "" {
+			h.start.Until = t.until
+		}
+		list = append(list, h.start)
+	}
+	return list
+}
+
 // merge takes a status into the table and returns the lease ends to set.
-func (t *Tasker) merge(status cowslipbend.MachineStatus, _ cowslipbend.Time) map[cowslipbend.TaskID]cowslipbend.Time {
+func (t *Tasker) merge(status cowslipbend.MachineStatus, asked cowslipbend.Time) map[cowslipbend.TaskID]cowslipbend.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.size = status.Size
+	t.size, t.asked = status.Size, true
+	now := t.clock.Now()
 	t.usage = t.usage[:0]
-	leases := map[cowslipbend.TaskID]cowslipbend.Time{}
+	leases, there := map[cowslipbend.TaskID]cowslipbend.Time{}, map[cowslipbend.TaskID]bool{}
 	for _, s := range status.Tasks {
-		t.newest[s.Task] = max(t.newest[s.Task], s.Attempt)
+		t.newest[s.Task] = mark{max(t.newest[s.Task].attempt, s.Attempt), now}
 		if s.Phase != cowslipbend.Running {
 			t.ended(s)
 			continue
 		}
 		h := t.adopt(s)
-		h.status = s
+		h.status, h.known, h.since = s, true, asked
+		there[s.Task] = true
 		t.usage = append(t.usage, s)
 		if s.Service == "" {
 			leases[s.Task] = t.until
 		}
 	}
+	t.missing(there, asked)
+	t.forget(now)
 	return leases
 }
 
+// missing reports the attempts that the worker had and that are not in a
+// status asked for later: it was restarted and lost them.
+func (t *Tasker) missing(there map[cowslipbend.TaskID]bool, asked cowslipbend.Time) {
+	for id, h := range t.tasks {
+		if !there[id] && h.known && h.since < asked {
+			t.end(h, cowslipbend.TaskStatus{Reason: "worker no longer has it"})
+		}
+	}
+}
+
+// forget drops the marks that no order can be compared with any more.
+func (t *Tasker) forget(now cowslipbend.Time) {
+	for id, m := range t.newest {
+		if _, runs := t.tasks[id]; !runs && now.Sub(m.at) > markAge {
+			delete(t.newest, id)
+		}
+	}
+}
+
 // adopt returns the entry of a running task, making one for a task that an
 // earlier life of this agent started.
 func (t *Tasker) adopt(s cowslipbend.TaskStatus) *held {
--- a/tasker/tasker_test.go
+++ b/tasker/tasker_test.go
@@ -147,3 +147,94 @@
 		assertKind(t, h.Start(t.Context(), start("j/1", 1)), cowslipbend.KindBusy)
 	})
 }
+
+func reports(h host) []cowslipbend.TaskStatus { return h.View().Reports }
+
+func TestWorker(t *testing.T) {
+	t.Run("a start without an answer is asked for again", func(t *testing.T) {
+		for _, took := range []bool{false, true} {
+			h := newHost(t)
+			h.m.lose, h.m.took = true, took
+			assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+			h.clock.Advance(cowslipbend.Second)
+			assert.NilError(t, h.Poll(t.Context()))
+			assert.NilError(t, h.Poll(t.Context()))
+			assert.Equal(t, h.m.tasks["j/0"].Phase, cowslipbend.Running)
+			assert.Equal(t, len(h.View().Usage), 1)
+			assert.Equal(t, len(reports(h)), 0)
+		}
+	})
+	t.Run("an attempt that the worker lost is reported", func(t *testing.T) {
+		h := newHost(t)
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		clear(h.m.tasks)
+		h.clock.Advance(cowslipbend.Second)
+		assert.NilError(t, h.Poll(t.Context()))
+		assert.Equal(t, len(reports(h)), 1)
+		assert.Equal(t, reports(h)[0].Phase, cowslipbend.Queued)
+	})
+	t.Run("a report is kept until it is acknowledged", func(t *testing.T) {
+		h := newHost(t)
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		assert.NilError(t, h.Evict(t.Context(), "j/0", 1))
+		for range 3 {
+			assert.NilError(t, h.Poll(t.Context()))
+			assert.Equal(t, reports(h)[0].Checkpoint, "c-j/0")
+		}
+		h.Acknowledge(t.Context(), "j/0", 1)
+		assert.NilError(t, h.Poll(t.Context()))
+		assert.Equal(t, len(reports(h)), 0)
+	})
+	t.Run("a restarted agent finds what runs and takes no order before", func(t *testing.T) {
+		h := newHost(t)
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		next := tasker.New(h.m, h.clock)
+		assertKind(t, next.Order(1, h.clock.Now()), cowslipbend.KindDown)
+		assert.NilError(t, next.Poll(t.Context()))
+		assert.NilError(t, next.Order(1, h.clock.Now()))
+		assert.NilError(t, next.Start(t.Context(), start("j/0", 1)))
+		assert.Equal(t, h.m.starts, 1)
+	})
+}
+
+func TestLease(t *testing.T) {
+	t.Run("it counts from the sending of the heartbeat", func(t *testing.T) {
+		h := newHost(t)
+		sent := h.clock.Now()
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		h.clock.Advance(2 * cowslipbend.Second)
+		assert.NilError(t, h.Grant(1, sent, lease))
+		assert.NilError(t, h.Poll(t.Context()))
+		assert.Equal(t, h.m.until["j/0"], sent.Add(lease))
+	})
+	t.Run("renewal after a lapse thaws the same attempt", func(t *testing.T) {
+		h := newHost(t)
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		h.clock.Advance(2 * lease)
+		assert.NilError(t, h.Poll(t.Context()))
+		assert.Assert(t, h.m.until["j/0"] < h.clock.Now(), "it is not frozen")
+		assert.NilError(t, h.Grant(1, h.clock.Now(), lease))
+		assert.NilError(t, h.Poll(t.Context()))
+		assert.Assert(t, h.m.until["j/0"] > h.clock.Now(), "it stays frozen")
+	})
+	t.Run("an owner whose epoch is over grants and orders nothing", func(t *testing.T) {
+		h := newHost(t)
+		assert.NilError(t, h.Order(2, h.clock.Now()))
+		assertKind(t, h.Grant(1, h.clock.Now(), lease), cowslipbend.KindStale)
+		assertKind(t, h.Order(1, h.clock.Now()), cowslipbend.KindStale)
+		assertKind(t, h.Start(t.Context(), start("j/0", 1)), cowslipbend.KindStale)
+	})
+}
+
+func TestRefusalsAreForgottenSafely(t *testing.T) {
+	h := newHost(t)
+	given := h.clock.Now()
+	h.clock.Advance(lease)
+	assertKind(t, h.Start(t.Context(), start("j/0", 1)), cowslipbend.KindLate)
+	h.clock.Advance(3 * tasker.OrderAge)
+	assert.NilError(t, h.Poll(t.Context()))
+	assert.NilError(t, h.Grant(1, h.clock.Now(), lease))
+	// A duplicate of the refused order comes after its memory is gone.
+	assertKind(t, h.Order(1, given), cowslipbend.KindStale)
+	assert.NilError(t, h.Order(1, h.clock.Now()))
+}
