publisher, entry: settle lost answers after others followed; start from peers

Cause: an operator whose answer was lost was told 'conflict' when another published on top of the change before it was read back, though it had taken effect; an entry that starts while the store is out knew nobody to ask. A pull ends after 1 s, so that a silent peer delays the next one less.

--- a/entry/main.go
+++ b/entry/main.go
@@ -26,6 +26,7 @@
 			starter.String("domain", "", "failure domain of this entry"),
 			starter.String("listen", d.Listen, "IP:PORT for callers, operators, agents and entries"),
 			starter.String("store", d.Store, "URL of the platform's table and objects"),
+			&cli.StringSliceFlag{Name: "peer", Usage: "URL of another entry for a start while the store is out, repeatable", Sources: starter.Env("peer")},
 			starter.String("secret", "", "secret shared by the processes of the system"),
 			starter.String("log", d.Log, "level of the log"),
 			starter.String("routing", d.Routing, "routing policy: adaptive, leastinflight or random"),
@@ -43,7 +44,7 @@
 func run(ctx context.Context, c *cli.Command) error {
 	s := runner.Settings{
 		ID: cowslipbend.EntryID(c.String("id")), Domain: cowslipbend.Domain(c.String("domain")),
-		Listen: c.String("listen"), Store: c.String("store"), Secret: c.String("secret"), Log: c.String("log"),
+		Listen: c.String("listen"), Store: c.String("store"), Peers: c.StringSlice("peer"), Secret: c.String("secret"), Log: c.String("log"),
 		Routing: c.String("routing"), Retries: c.Int("retries"), Lease: cowslipbend.SpanOf(c.Duration("lease")), Cap: cowslipbend.SpanOf(c.Duration("cap")),
 		Delay: cowslipbend.SpanOf(c.Duration("delay")), Drain: cowslipbend.SpanOf(c.Duration("drain")),
 	}
--- a/entry/runner/member.go
+++ b/entry/runner/member.go
@@ -89,7 +89,7 @@
 // sync calls every other entry.
 func (e *Entry) sync(ctx context.Context) error {
 	var g errgroup.Group
-	for _, p := range e.track.Peers() {
+	for _, p := range e.contacts() {
 		g.Go(func() error {
 			e.call(ctx, p)
 			return nil
@@ -101,6 +101,23 @@
 	return nil
 }
 
+// contacts returns the entries to call: the known ones, and those of the
+// settings that no known one stands for.
+func (e *Entry) contacts() []tracker.Peer {
+	peers := e.track.Peers()
+	known := map[string]bool{e.URL(): true}
+	for _, p := range peers {
+		known[p.URL] = true
+	}
+	for _, url := range e.settings.Peers {
+		if !known[url] {
+			peers = append(peers, tracker.Peer{URL: url})
+		}
+	}
+	return peers
+}
+
+// call exchanges membership with one entry.
 func (e *Entry) call(ctx context.Context, p tracker.Peer) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout.Duration())
 	defer cancel()
--- a/entry/runner/settings.go
+++ b/entry/runner/settings.go
@@ -16,7 +16,9 @@
 	// Listen serves callers, operators, agents and other entries.
 	Listen string
 	// Store is the URL of the platform's table and objects.
-	Store   string
+	Store string
+	// Peers are URLs of other entries, for a start while the store is out.
+	Peers   []string
 	Secret  string
 	Log     string
 	Routing string
@@ -51,6 +53,11 @@
 	if u, err := url.Parse(s.Store); err != nil || u.Scheme != "http" || u.Host == "" {
 		l.Add(cowslipbend.Invalid("--store", s.Store+" is no URL", "give the platform's http://IP:PORT"))
 	}
+	for _, p := range s.Peers {
+		if u, err := url.Parse(p); err != nil || u.Scheme != "http" || u.Host == "" {
+			l.Add(cowslipbend.Invalid("--peer", p+" is no URL", "give another entry's http://IP:PORT"))
+		}
+	}
 	if _, err := router.Policy(s.Routing); err != nil {
 		l.Add(err)
 	}
--- a/publisher/holder.go
+++ b/publisher/holder.go
@@ -18,7 +18,7 @@
 // Sizes and times of a holder.
 const (
 	pullRing    = 16
-	pullTimeout = 2 * cowslipbend.Second
+	pullTimeout = cowslipbend.Second
 )
 
 // Holder is the configuration that is in force in one process. It is safe
--- a/publisher/publish.go
+++ b/publisher/publish.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"cowslipbend.dev"
 )
@@ -17,8 +18,14 @@
 type Head struct {
 	Revision cowslipbend.Revision `json:"rev"`
 	Digest   cowslipbend.Digest   `json:"digest"`
+	// Trail holds the random ids of the last publishes, newest last, so that
+	// one whose answer was lost is found also after others have followed.
+	Trail []string `json:"trail,omitempty"`
 }
 
+// maxTrail bounds the trail.
+const maxTrail = 32
+
 // Store is where configurations last.
 type Store struct {
 	Table   cowslipbend.Table
@@ -60,7 +67,8 @@
 	if head.Revision != base {
 		return 0, nil, conflict(base, head)
 	}
-	next := Head{Revision: base + 1, Digest: digest(raw)}
+	next := Head{Revision: base + 1, Digest: digest(raw), Trail: append(slices.Clone(head.Trail), cowslipbend.DrawID())}
+	next.Trail = next.Trail[max(0, len(next.Trail)-maxTrail):]
 	if err := s.Objects.Put(ctx, object(next.Digest), raw); err != nil {
 		return 0, nil, err
 	}
@@ -88,10 +96,10 @@
 	switch {
 	case err != nil:
 		return cowslipbend.Failf(cowslipbend.KindUnknown, cause, "compare cowslip status with your set before you publish again", "publishing may have taken effect")
-	case head == next:
+	case slices.Contains(head.Trail, next.Trail[len(next.Trail)-1]):
 		return nil
-	case head.Revision == base:
-		return cowslipbend.Failf(cowslipbend.KindUnknown, cause, "wait a moment and look at cowslip status", "publishing has not taken effect yet")
+	case head.Revision == base, head.Revision >= next.Revision+maxTrail:
+		return cowslipbend.Failf(cowslipbend.KindUnknown, cause, "wait a moment and look at cowslip status", "publishing may still take effect, or has taken it")
 	}
 	return conflict(base, head)
 }
