--- a/agent/runner/calls.go
+++ b/agent/runner/calls.go
@@ -29,7 +29,12 @@
 	}
 	reply := &control.OrderReply{}
 	for _, t := range r.GetStarts() {
-		if err := c.start(ctx, t, epoch); err != nil {
+		err := c.start(ctx, t, epoch, cowslipbend.Time(r.GetToken()))
+		if cowslipbend.KindOf(err) == cowslipbend.KindLate {
+			a.log.Debug("start waits for a lease", "task", t.GetTask(), "attempt", t.GetAttempt())
+			continue // This is no final refusal, and the owner sends it again.
+		}
+		if err != nil {
 			reply.Refused = append(reply.Refused, &control.Refusal{Task: t.GetTask(), Attempt: t.GetAttempt(), Reason: err.Error()})
 		}
 	}
@@ -46,9 +51,9 @@
 	return reply, nil
 }
 
-func (c *calls) start(ctx context.Context, t *control.Task, epoch cowslipbend.Epoch) error {
+func (c *calls) start(ctx context.Context, t *control.Task, epoch cowslipbend.Epoch, token cowslipbend.Time) error {
 	if err := t.Check(); err != nil {
 		return err
 	}
-	return c.agent.tasks.Start(ctx, t.Start(epoch))
+	return c.agent.tasks.Start(ctx, t.Start(epoch), token)
 }
--- a/beater/beater.go
+++ b/beater/beater.go
@@ -129,18 +129,18 @@
 	entry, owned := b.entries[url], b.owner == url
 	b.mu.Unlock()
 	sent := b.clock.Now()
-	reply, err := entry.Beat(ctx, b.request(sent, owned))
+	view := b.tasks.View()
+	reply, err := entry.Beat(ctx, b.request(view, sent, owned))
 	if err != nil {
 		b.log.Debug("heartbeat failed", "entry", url, "error", err)
 		return
 	}
-	b.take(ctx, url, sent, reply)
+	b.take(ctx, url, sent, view, reply)
 }
 
 // request builds one heartbeat. Only the owner of the pool gets reports and
 // measurements.
-func (b *Beater) request(sent cowslipbend.Time, owned bool) *control.BeatRequest {
-	view := b.tasks.View()
+func (b *Beater) request(view tasker.View, sent cowslipbend.Time, owned bool) *control.BeatRequest {
 	req := &control.BeatRequest{
 		Worker: string(b.self.Worker), Life: string(b.self.Life), Pool: string(b.self.Pool),
 		Domain: string(b.self.Domain), Rack: string(b.self.Rack), Url: b.self.URL,
@@ -180,7 +180,7 @@
 }
 
 // take applies a reply.
-func (b *Beater) take(ctx context.Context, url string, sent cowslipbend.Time, r *control.BeatReply) {
+func (b *Beater) take(ctx context.Context, url string, sent cowslipbend.Time, view tasker.View, r *control.BeatReply) {
 	b.mu.Lock()
 	for _, p := range r.GetEntries() {
 		b.learn(p.GetUrl())
@@ -195,7 +195,7 @@
 		b.config.Behind(url, rev)
 	}
 	if r.GetLease() > 0 {
-		if err := b.tasks.Grant(cowslipbend.Epoch(r.GetEpoch()), sent, cowslipbend.Span(r.GetLease())); err != nil {
+		if err := b.tasks.Grant(cowslipbend.Epoch(r.GetEpoch()), sent, cowslipbend.Span(r.GetLease()), view.Usage); err != nil {
 			b.log.Info("lease refused", "entry", url, "error", err)
 		}
 	}
--- a/entry/runner/calls.go
+++ b/entry/runner/calls.go
@@ -53,7 +53,7 @@
 // age, as the clocks of two hosts are not compared.
 func beat(r *control.BeatRequest) scheduler.Beat {
 	b := scheduler.Beat{
-		Leaving: r.GetLeaving(),
+		Leaving: r.GetLeaving(), Sent: cowslipbend.Time(r.GetSent()),
 		Worker: cowslipbend.WorkerSpec{
 			ID: cowslipbend.WorkerID(r.GetWorker()), Pool: cowslipbend.PoolID(r.GetPool()),
 			Domain: cowslipbend.Domain(r.GetDomain()), Rack: cowslipbend.Rack(r.GetRack()), Size: r.GetSize().Resources(),
--- a/entry/runner/sender.go
+++ b/entry/runner/sender.go
@@ -36,7 +36,7 @@
 }
 
 func request(pool cowslipbend.PoolID, epoch cowslipbend.Epoch, a *tracker.Agent, o *scheduler.Orders) *control.OrderRequest {
-	r := &control.OrderRequest{Pool: string(pool), Epoch: int64(epoch), Life: string(a.Life), Token: int64(a.Token())}
+	r := &control.OrderRequest{Pool: string(pool), Epoch: int64(epoch), Life: string(a.Life), Token: int64(o.Token)}
 	for _, st := range o.Starts {
 		r.Starts = append(r.Starts, control.FromStart(st))
 	}
--- a/entry/runner/settings.go
+++ b/entry/runner/settings.go
@@ -53,11 +53,7 @@
 	if u, err := url.Parse(s.Store); err != nil || u.Scheme != "http" || u.Host == "" {
 		l.Add(cowslipbend.Invalid("--store", s.Store+" is no URL", "give the platform's http://IP:PORT"))
 	}
-	for _, p := range s.Peers {
-		if u, err := url.Parse(p); err != nil || u.Scheme != "http" || u.Host == "" {
-			l.Add(cowslipbend.Invalid("--peer", p+" is no URL", "give another entry's http://IP:PORT"))
-		}
-	}
+	l.Add(s.checkPeers())
 	if _, err := router.Policy(s.Routing); err != nil {
 		l.Add(err)
 	}
@@ -75,3 +71,13 @@
 	}
 	return l.Err()
 }
+
+func (s *Settings) checkPeers() error {
+	var l cowslipbend.Errors
+	for _, p := range s.Peers {
+		if u, err := url.Parse(p); err != nil || u.Scheme != "http" || u.Host == "" {
+			l.Add(cowslipbend.Invalid("--peer", p+" is no URL", "give another entry's http://IP:PORT"))
+		}
+	}
+	return l.Err()
+}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -250,6 +250,8 @@
 	Leaving bool
 	Reports []cowslipbend.TaskStatus
 	Running []cowslipbend.TaskStatus
+	// Sent is the moment of the worker's clock at which it was sent.
+	Sent cowslipbend.Time
 	// Lapse is when the lease that its reply grants ends at the latest.
 	Lapse cowslipbend.Time
 }
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -10,6 +10,9 @@
 // Orders are what one agent is told, after the records behind them are
 // committed.
 type Orders struct {
+	// Token is the moment of the worker's clock at which the last heartbeat
+	// was sent that was taken before these orders were given.
+	Token  cowslipbend.Time
 	Starts []cowslipbend.Start
 	Evicts []Ref
 	Stops  []Ref
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -374,6 +374,7 @@
 
 func (o *Owner) order(now cowslipbend.Time) {
 	for worker, orders := range o.engine.Orders(now, o.Epoch()) {
+		orders.Token = o.desk.token(worker)
 		o.outbox.Offer(parcel{worker, orders})
 	}
 }
--- a/scheduler/owners.go
+++ b/scheduler/owners.go
@@ -245,8 +245,23 @@
 	return best
 }
 
-// take commits the next epoch, replays the journal and starts the owner.
+// take makes this entry the owner of the next epoch and starts its duties.
 func (o *Owners) take(ctx context.Context, p *cowslipbend.Pool, head journaler.Head, version int64) error {
+	owner, committed, err := o.acquire(ctx, p, head, version)
+	if err != nil {
+		return err
+	}
+	o.log.Info("pool taken", "pool", p.Name, "epoch", owner.Epoch())
+	o.start(ctx, owner)
+	if len(head.Witnesses) > 0 && !slices.Contains(head.Witnesses, o.self) {
+		o.group.Go(func() error { return owner.lapse(ctx, head.Witnesses, committed) })
+	}
+	return nil
+}
+
+// acquire commits the next epoch and replays the journal. It returns the owner
+// and when the commit returned.
+func (o *Owners) acquire(ctx context.Context, p *cowslipbend.Pool, head journaler.Head, version int64) (*Owner, cowslipbend.Time, error) {
 	own := slices.Contains(head.Witnesses, o.self)
 	if own {
 		// A release before the commit counts from the commit.
@@ -255,16 +270,16 @@
 	began := o.clock.Now()
 	j, err := o.store.Take(ctx, p.Name, head, version, o.self)
 	if err != nil {
-		return err
+		return nil, 0, err
 	}
 	committed := o.clock.Now()
 	state, err := j.Load(ctx)
 	if err != nil {
-		return err
+		return nil, 0, err
 	}
 	policy, err := placer.New(p.Policy, p.Weights)
 	if err != nil {
-		return err
+		return nil, 0, err
 	}
 	var released cowslipbend.Time
 	if own {
@@ -276,13 +291,8 @@
 	}
 	l := leaser.New(o.terms, o.clock)
 	l.Confirm(began)
-	owner := NewOwner(p.Name, j, NewEngine(p.Name, state, policy, Defaults(), safe), l, o.members, o.sender, o.config, o.clock, o.log)
-	o.log.Info("pool taken", "pool", p.Name, "epoch", owner.Epoch())
-	o.start(ctx, owner)
-	if len(head.Witnesses) > 0 && !own {
-		o.group.Go(func() error { return owner.lapse(ctx, head.Witnesses, committed) })
-	}
-	return nil
+	engine := NewEngine(p.Name, state, policy, Defaults(), safe)
+	return NewOwner(p.Name, j, engine, l, o.members, o.sender, o.config, o.clock, o.log), committed, nil
 }
 
 // start runs the duties of an owner.
--- a/tasker/tasker.go
+++ b/tasker/tasker.go
@@ -37,6 +37,9 @@
 	// the moment since.
 	known bool
 	since cowslipbend.Time
+	// until is the end of its lease; zero for what an earlier life of this
+	// agent started, whose end only the worker knows.
+	until cowslipbend.Time
 	// asking is set while the worker is being asked to start it.
 	asking bool
 }
@@ -52,9 +55,12 @@
 	mu   sync.Mutex
 	size cowslipbend.Resources
 	// asked is set once the worker has told what it holds.
-	asked   bool
-	epoch   cowslipbend.Epoch
+	asked bool
+	epoch cowslipbend.Epoch
+	// until is the end of the newest lease; it has not lapsed since the
+	// heartbeat that was sent at the moment begun.
 	until   cowslipbend.Time
+	begun   cowslipbend.Time
 	tasks   map[cowslipbend.TaskID]*held
 	newest  map[cowslipbend.TaskID]mark
 	reports map[key]cowslipbend.TaskStatus
@@ -98,21 +104,32 @@
 }
 
 // Grant moves the end of the batch lease to the span after the moment the
-// heartbeat was sent. The lease never moves back within an epoch.
-func (t *Tasker) Grant(epoch cowslipbend.Epoch, sent cowslipbend.Time, lease cowslipbend.Span) error {
+// heartbeat was sent, for the attempts that the heartbeat named: the owner has
+// compared just these with its journal. The lease never moves back.
+func (t *Tasker) Grant(epoch cowslipbend.Epoch, sent cowslipbend.Time, lease cowslipbend.Span, named []cowslipbend.TaskStatus) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err := t.order(epoch); err != nil {
 		return err
 	}
-	t.until = max(t.until, sent.Add(lease))
+	if t.until <= t.clock.Now() {
+		t.begun = sent
+	}
+	end := sent.Add(lease)
+	t.until = max(t.until, end)
+	for _, s := range named {
+		if h, ok := t.tasks[s.Task]; ok && h.start.Attempt == s.Attempt {
+			h.until = max(h.until, end)
+		}
+	}
 	return nil
 }
 
 // Start runs an attempt on the worker, or refuses it: KindStale for an old
-// epoch or attempt, KindBusy if it does not fit, KindLate without a lease.
-func (t *Tasker) Start(ctx context.Context, s cowslipbend.Start) error {
-	repeated, err := t.reserve(&s)
+// epoch or attempt and KindBusy if it does not fit are final; KindLate, without
+// a lease that has lasted since the moment token of the order, is not.
+func (t *Tasker) Start(ctx context.Context, s cowslipbend.Start, token cowslipbend.Time) error {
+	repeated, err := t.reserve(&s, token)
 	if err != nil || repeated {
 		return err
 	}
@@ -150,7 +167,7 @@
 // reserve records the attempt before the worker is asked. It reports true for
 // the repeat of an order that was accepted: refusing that would tell the owner
 // that an attempt never ran which runs here.
-func (t *Tasker) reserve(s *cowslipbend.Start) (repeated bool, err error) {
+func (t *Tasker) reserve(s *cowslipbend.Start, token cowslipbend.Time) (repeated bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err := t.order(s.Epoch); err != nil {
@@ -159,6 +176,11 @@
 	if t.accepted(s.Task, s.Attempt) {
 		return true, nil
 	}
+	// Once the lease has lapsed the owner may have placed elsewhere what it
+	// ordered before.
+	if s.Service == "" && (t.until <= t.clock.Now() || token < t.begun) {
+		return false, cowslipbend.Fail(cowslipbend.KindLate, "the batch lease has lapsed since the order", "send it again after the next heartbeat")
+	}
 	return false, t.admit(s)
 }
 
@@ -183,16 +205,13 @@
 	if _, runs := t.tasks[s.Task]; runs {
 		return cowslipbend.Fail(cowslipbend.KindBusy, "an earlier attempt of "+string(s.Task)+" is still here", "wait for its report")
 	}
-	if s.Service == "" && t.until <= t.clock.Now() {
-		return cowslipbend.Fail(cowslipbend.KindLate, "the batch lease has lapsed", "renew it by a heartbeat first")
-	}
 	if sum := t.reserved().Plus(s.Size); !sum.Fits(t.size) {
 		return cowslipbend.Fail(cowslipbend.KindBusy, "task "+string(s.Task)+" does not fit beside the others", "place it elsewhere")
 	}
 	if s.Service == "" {
 		s.Until = t.until
 	}
-	t.tasks[s.Task] = &held{start: *s, asking: true, status: cowslipbend.TaskStatus{Task: s.Task, Attempt: s.Attempt, Size: s.Size, Phase: cowslipbend.Assigned}}
+	t.tasks[s.Task] = &held{start: *s, until: t.until, asking: true, status: cowslipbend.TaskStatus{Task: s.Task, Attempt: s.Attempt, Size: s.Size, Phase: cowslipbend.Assigned}}
 	return nil
 }
 
@@ -244,7 +263,7 @@
 		}
 		h.asking = true
 		if h.start.Service == "" {
-			h.start.Until = t.until
+			h.start.Until = h.until
 		}
 		list = append(list, h.start)
 	}
@@ -269,8 +288,8 @@
 		h.status, h.known, h.since = s, true, asked
 		there[s.Task] = true
 		t.usage = append(t.usage, s)
-		if s.Service == "" {
-			leases[s.Task] = t.until
+		if s.Service == "" && h.until != 0 {
+			leases[s.Task] = h.until
 		}
 	}
 	t.missing(there, asked)
--- a/tasker/tasker_test.go
+++ b/tasker/tasker_test.go
@@ -91,6 +91,11 @@
 	clock *timer.Manual
 }
 
+// grant renews the lease of what the worker runs.
+func (h host) grant(epoch cowslipbend.Epoch, sent cowslipbend.Time) error {
+	return h.Grant(epoch, sent, lease, h.View().Usage)
+}
+
 const lease = 6 * cowslipbend.Second
 
 func newHost(t *testing.T) host {
@@ -99,7 +104,7 @@
 	h.clock.Advance(cowslipbend.Second)
 	h.Tasker = tasker.New(h.m, h.clock)
 	assert.NilError(t, h.Poll(t.Context()))
-	assert.NilError(t, h.Grant(1, h.clock.Now(), lease))
+	assert.NilError(t, h.grant(1, h.clock.Now()))
 	return h
 }
 
@@ -118,33 +123,46 @@
 func TestStart(t *testing.T) {
 	t.Run("a repeated order is accepted and starts nothing more", func(t *testing.T) {
 		h := newHost(t)
-		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
-		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1), h.clock.Now()))
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1), h.clock.Now()))
 		assert.Equal(t, h.m.starts, 1)
 		assert.NilError(t, h.m.Stop(t.Context(), "j/0", 1))
 		assert.NilError(t, h.Poll(t.Context()))
-		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1), h.clock.Now()))
 		assert.Equal(t, h.m.starts, 1)
 	})
 	t.Run("an older attempt is refused", func(t *testing.T) {
 		h := newHost(t)
-		assert.NilError(t, h.Start(t.Context(), start("j/0", 2)))
-		assertKind(t, h.Start(t.Context(), start("j/0", 1)), cowslipbend.KindStale)
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 2), h.clock.Now()))
+		assertKind(t, h.Start(t.Context(), start("j/0", 1), h.clock.Now()), cowslipbend.KindStale)
 	})
 	t.Run("a refusal is final", func(t *testing.T) {
 		h := newHost(t)
+		large := start("j/0", 1)
+		large.Size = h.m.size
+		assert.NilError(t, h.Start(t.Context(), start("j/1", 1), h.clock.Now()))
+		assertKind(t, h.Start(t.Context(), large, h.clock.Now()), cowslipbend.KindBusy)
+		assert.NilError(t, h.Stop(t.Context(), "j/1", 1))
+		assert.NilError(t, h.Poll(t.Context()))
+		assertKind(t, h.Start(t.Context(), large, h.clock.Now()), cowslipbend.KindStale)
+		assert.Equal(t, h.m.starts, 1)
+	})
+	t.Run("an order from before a lapse starts nothing", func(t *testing.T) {
+		h := newHost(t)
+		given := h.clock.Now()
 		h.clock.Advance(lease)
-		assertKind(t, h.Start(t.Context(), start("j/0", 1)), cowslipbend.KindLate)
-		assert.NilError(t, h.Grant(1, h.clock.Now(), lease))
-		assertKind(t, h.Start(t.Context(), start("j/0", 1)), cowslipbend.KindStale)
+		assertKind(t, h.Start(t.Context(), start("j/0", 1), given), cowslipbend.KindLate)
+		assert.NilError(t, h.grant(1, h.clock.Now()))
+		assertKind(t, h.Start(t.Context(), start("j/0", 1), given), cowslipbend.KindLate)
 		assert.Equal(t, h.m.starts, 0)
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1), h.clock.Now()))
 	})
 	t.Run("what does not fit is refused", func(t *testing.T) {
 		h := newHost(t)
 		s := start("j/0", 1)
 		s.Size = h.m.size
-		assert.NilError(t, h.Start(t.Context(), s))
-		assertKind(t, h.Start(t.Context(), start("j/1", 1)), cowslipbend.KindBusy)
+		assert.NilError(t, h.Start(t.Context(), s, h.clock.Now()))
+		assertKind(t, h.Start(t.Context(), start("j/1", 1), h.clock.Now()), cowslipbend.KindBusy)
 	})
 }
 
@@ -155,7 +173,7 @@
 		for _, took := range []bool{false, true} {
 			h := newHost(t)
 			h.m.lose, h.m.took = true, took
-			assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+			assert.NilError(t, h.Start(t.Context(), start("j/0", 1), h.clock.Now()))
 			h.clock.Advance(cowslipbend.Second)
 			assert.NilError(t, h.Poll(t.Context()))
 			assert.NilError(t, h.Poll(t.Context()))
@@ -166,7 +184,7 @@
 	})
 	t.Run("an attempt that the worker lost is reported", func(t *testing.T) {
 		h := newHost(t)
-		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1), h.clock.Now()))
 		clear(h.m.tasks)
 		h.clock.Advance(cowslipbend.Second)
 		assert.NilError(t, h.Poll(t.Context()))
@@ -175,7 +193,7 @@
 	})
 	t.Run("a report is kept until it is acknowledged", func(t *testing.T) {
 		h := newHost(t)
-		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1), h.clock.Now()))
 		assert.NilError(t, h.Evict(t.Context(), "j/0", 1))
 		for range 3 {
 			assert.NilError(t, h.Poll(t.Context()))
@@ -187,12 +205,12 @@
 	})
 	t.Run("a restarted agent finds what runs and takes no order before", func(t *testing.T) {
 		h := newHost(t)
-		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1), h.clock.Now()))
 		next := tasker.New(h.m, h.clock)
 		assertKind(t, next.Order(1, h.clock.Now()), cowslipbend.KindDown)
 		assert.NilError(t, next.Poll(t.Context()))
 		assert.NilError(t, next.Order(1, h.clock.Now()))
-		assert.NilError(t, next.Start(t.Context(), start("j/0", 1)))
+		assert.NilError(t, next.Start(t.Context(), start("j/0", 1), h.clock.Now()))
 		assert.Equal(t, h.m.starts, 1)
 	})
 }
@@ -201,39 +219,49 @@
 	t.Run("it counts from the sending of the heartbeat", func(t *testing.T) {
 		h := newHost(t)
 		sent := h.clock.Now()
-		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1), h.clock.Now()))
+		assert.NilError(t, h.Poll(t.Context()))
 		h.clock.Advance(2 * cowslipbend.Second)
-		assert.NilError(t, h.Grant(1, sent, lease))
+		assert.NilError(t, h.grant(1, sent))
 		assert.NilError(t, h.Poll(t.Context()))
 		assert.Equal(t, h.m.until["j/0"], sent.Add(lease))
 	})
 	t.Run("renewal after a lapse thaws the same attempt", func(t *testing.T) {
 		h := newHost(t)
-		assert.NilError(t, h.Start(t.Context(), start("j/0", 1)))
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1), h.clock.Now()))
 		h.clock.Advance(2 * lease)
 		assert.NilError(t, h.Poll(t.Context()))
 		assert.Assert(t, h.m.until["j/0"] < h.clock.Now(), "it is not frozen")
-		assert.NilError(t, h.Grant(1, h.clock.Now(), lease))
+		assert.NilError(t, h.grant(1, h.clock.Now()))
 		assert.NilError(t, h.Poll(t.Context()))
 		assert.Assert(t, h.m.until["j/0"] > h.clock.Now(), "it stays frozen")
 	})
+	t.Run("renewal leaves out what the heartbeat did not name", func(t *testing.T) {
+		h := newHost(t)
+		assert.NilError(t, h.Start(t.Context(), start("j/0", 1), h.clock.Now()))
+		end := h.m.until["j/0"]
+		h.clock.Advance(cowslipbend.Second)
+		assert.NilError(t, h.Grant(1, h.clock.Now(), lease, nil))
+		assert.NilError(t, h.Poll(t.Context()))
+		assert.Equal(t, h.m.until["j/0"], end)
+	})
 	t.Run("an owner whose epoch is over grants and orders nothing", func(t *testing.T) {
 		h := newHost(t)
 		assert.NilError(t, h.Order(2, h.clock.Now()))
-		assertKind(t, h.Grant(1, h.clock.Now(), lease), cowslipbend.KindStale)
+		assertKind(t, h.grant(1, h.clock.Now()), cowslipbend.KindStale)
 		assertKind(t, h.Order(1, h.clock.Now()), cowslipbend.KindStale)
-		assertKind(t, h.Start(t.Context(), start("j/0", 1)), cowslipbend.KindStale)
+		assertKind(t, h.Start(t.Context(), start("j/0", 1), h.clock.Now()), cowslipbend.KindStale)
 	})
 }
 
 func TestRefusalsAreForgottenSafely(t *testing.T) {
 	h := newHost(t)
 	given := h.clock.Now()
-	h.clock.Advance(lease)
-	assertKind(t, h.Start(t.Context(), start("j/0", 1)), cowslipbend.KindLate)
+	large := start("j/0", 1)
+	large.Size = h.m.size.Times(2)
+	assertKind(t, h.Start(t.Context(), large, given), cowslipbend.KindBusy)
 	h.clock.Advance(3 * tasker.OrderAge)
 	assert.NilError(t, h.Poll(t.Context()))
-	assert.NilError(t, h.Grant(1, h.clock.Now(), lease))
 	// A duplicate of the refused order comes after its memory is gone.
 	assertKind(t, h.Order(1, given), cowslipbend.KindStale)
 	assert.NilError(t, h.Order(1, h.clock.Now()))
