beater: report ends at once, and let a hanging entry delay no other

Cause: an end was told with the next heartbeat, up to a second later, so the loss of a host took more word of finished tasks along; Beat waited for every entry, so a paused one stretched all heartbeats to three seconds. Change: new reports go to the owner at once; each entry has its own heartbeat on its way.

--- a/agent/runner/run.go
+++ b/agent/runner/run.go
@@ -156,6 +156,9 @@
 		a.log.Debug("worker does not answer", "error", err)
 		return nil
 	}
+	if a.tasks.Fresh() {
+		a.beats.Nudge()
+	}
 	a.protect(ctx)
 	return nil
 }
--- a/beater/beater.go
+++ b/beater/beater.go
@@ -19,7 +19,6 @@
 	"cowslipbend.dev/internal/control"
 	"cowslipbend.dev/internal/dialer"
 	"cowslipbend.dev/tasker"
-	"cowslipbend.dev/timer"
 )
 
 // Identity is what an agent says about itself in each heartbeat.
@@ -57,10 +56,12 @@
 	opts   Options
 	log    hclog.Logger
 	http   *http.Client
+	nudged chan struct{}
 	done   chan struct{}
 
 	mu      sync.Mutex
 	entries map[string]control.Entry
+	busy    map[string]bool // entries that owe a reply
 	owner   string
 	epoch   cowslipbend.Epoch // of the owner
 }
@@ -69,7 +70,7 @@
 func New(self Identity, gate *gater.Gate, tasks *tasker.Tasker, config Config, clock cowslipbend.Clock, opts Options, log hclog.Logger, entries []string) *Beater {
 	b := &Beater{
 		self: self, gate: gate, tasks: tasks, config: config, clock: clock, opts: opts, log: log,
-		http: dialer.Pooled(opts.Secret), done: make(chan struct{}), entries: map[string]control.Entry{},
+		http: dialer.Pooled(opts.Secret), nudged: make(chan struct{}, 1), busy: map[string]bool{}, done: make(chan struct{}), entries: map[string]control.Entry{},
 	}
 	for _, url := range entries {
 		b.learn(url)
@@ -88,14 +89,74 @@
 func (b *Beater) Run(ctx context.Context) error {
 	defer close(b.done)
 	defer b.http.CloseIdleConnections()
+	var g errgroup.Group
+	defer func() { _ = g.Wait() }()
 	for {
-		b.Beat(ctx)
-		if !timer.Sleep(ctx, b.clock, b.opts.Period) {
-			return nil
+		b.send(ctx, &g, b.known()...)
+		for next := b.clock.After(b.opts.Period); next != nil; {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-b.nudged:
+				b.send(ctx, &g, b.owners()...)
+			case <-next:
+				next = nil
+			}
 		}
 	}
 }
 
+// Nudge has the owner of the pool told soon that attempts have ended: their
+// room can be given away, and the loss of this host must not take the word of
+// it along.
+func (b *Beater) Nudge() {
+	select {
+	case b.nudged <- struct{}{}:
+	default:
+	}
+}
+
+// owners returns the URL of the pool's owner, if it is known.
+func (b *Beater) owners() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.owner == "" {
+		return nil
+	}
+	return []string{b.owner}
+}
+
+// send starts a heartbeat to each of the entries that does not still owe the
+// reply to the last one, so that an entry that hangs holds up no other.
+func (b *Beater) send(ctx context.Context, g *errgroup.Group, urls ...string) {
+	for _, url := range urls {
+		if !b.claim(url) {
+			continue
+		}
+		g.Go(func() error {
+			defer b.free(url)
+			b.beat(ctx, url)
+			return nil
+		})
+	}
+}
+
+func (b *Beater) claim(url string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.busy[url] {
+		return false
+	}
+	b.busy[url] = true
+	return true
+}
+
+func (b *Beater) free(url string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.busy, url)
+}
+
 // Done is closed when Run has returned.
 func (b *Beater) Done() <-chan struct{} { return b.done }
 
--- a/tasker/tasker.go
+++ b/tasker/tasker.go
@@ -64,7 +64,9 @@
 	tasks   map[cowslipbend.TaskID]*held
 	newest  map[cowslipbend.TaskID]mark
 	reports map[key]cowslipbend.TaskStatus
-	usage   []cowslipbend.TaskStatus
+	// fresh is set when a report is new.
+	fresh bool
+	usage []cowslipbend.TaskStatus
 }
 
 // New returns a tasker for the worker.
@@ -161,7 +163,25 @@
 func (t *Tasker) end(h *held, s cowslipbend.TaskStatus) {
 	s.Task, s.Attempt, s.Phase = h.start.Task, h.start.Attempt, cowslipbend.Queued
 	delete(t.tasks, s.Task)
-	t.reports[key{s.Task, s.Attempt}] = s
+	t.report(s)
+}
+
+// report keeps the end of an attempt until the owner acknowledges it.
+func (t *Tasker) report(s cowslipbend.TaskStatus) {
+	k := key{s.Task, s.Attempt}
+	if _, known := t.reports[k]; !known {
+		t.fresh = true
+	}
+	t.reports[k] = s
+}
+
+// Fresh reports whether attempts have ended since it was last called.
+func (t *Tasker) Fresh() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fresh := t.fresh
+	t.fresh = false
+	return fresh
 }
 
 // reserve records the attempt before the worker is asked. It reports true for
@@ -328,7 +348,7 @@
 }
 
 func (t *Tasker) ended(s cowslipbend.TaskStatus) {
-	t.reports[key{s.Task, s.Attempt}] = s
+	t.report(s)
 	if h, ok := t.tasks[s.Task]; ok && h.start.Attempt == s.Attempt {
 		delete(t.tasks, s.Task)
 	}
