entry: notice a dead entry by refused calls, look at pools when the live ones change

Cause: a dead owner was noticed after 3 s of silence and the next look at the heads came up to a second later. Change: two calls in a row that find nobody listening count as silence, silence is 2 s, and a change of the live entries nudges the look at the heads.

--- a/entry/runner/member.go
+++ b/entry/runner/member.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"slices"
+	"syscall"
 
 	"golang.org/x/sync/errgroup"
 
@@ -96,6 +99,7 @@
 		})
 	}
 	_ = g.Wait()
+	e.compare()
 	e.track.Sweep(agentSilence)
 	e.limits.Tick(e.others())
 	return nil
@@ -123,6 +127,7 @@
 	defer cancel()
 	client := control.NewEntryProtobufClient(p.URL, e.http)
 	reply, err := client.Sync(ctx, &control.SyncRequest{Self: toPeer(e.peer()), Revision: int64(e.config.Revision()), Counts: e.counts()})
+	e.refused(p, err)
 	if err != nil {
 		return // Silence is what tells.
 	}
@@ -135,6 +140,35 @@
 	}
 }
 
+// maxRefused is the count of calls in a row that find nobody listening after
+// which a peer counts as silent at once.
+const maxRefused = 2
+
+// refused counts the calls to a peer that found nobody listening.
+func (e *Entry) refused(p tracker.Peer, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		delete(e.refusals, p.Life)
+		return
+	}
+	e.refusals[p.Life]++
+	if e.refusals[p.Life] == maxRefused {
+		e.track.Lost(p.ID, p.Life)
+	}
+}
+
+// compare has the pools looked at at once when the live entries have changed.
+func (e *Entry) compare() {
+	live := e.Witnesses()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !slices.Equal(live, e.live) {
+		e.live = live
+		e.owners.Nudge()
+	}
+}
+
 // hear takes word from a peer itself.
 func (e *Entry) hear(p *control.Peer, rev cowslipbend.Revision) {
 	peer := fromPeer(p)
--- a/entry/runner/run.go
+++ b/entry/runner/run.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,7 +38,7 @@
 	syncTimeout  = cowslipbend.Second
 	configPeriod = cowslipbend.Second
 	memberPeriod = 5 * cowslipbend.Second
-	peerSilence  = 3 * cowslipbend.Second
+	peerSilence  = 2 * cowslipbend.Second
 	agentSilence = 3 * cowslipbend.Second
 	closeTimeout = 2 * cowslipbend.Second
 	handTimeout  = 2 * cowslipbend.Second
@@ -67,9 +68,14 @@
 	main     *server.Server
 	http     *http.Client
 	leaving  atomic.Bool
-	began    cowslipbend.Time
-	joined   atomic.Bool
-	killed   chan struct{}
+	mu       sync.Mutex
+	// refusals counts, by life, the calls in a row that found nobody listening.
+	refusals map[cowslipbend.Incarnation]int
+	// live are the other entries that lived at the last look.
+	live   []journaler.Witness
+	began  cowslipbend.Time
+	joined atomic.Bool
+	killed chan struct{}
 }
 
 // Run runs an entry until the context ends, then drains it.
@@ -88,7 +94,7 @@
 		return nil, err
 	}
 	e := &Entry{
-		vows:     leaser.NewWitnesses(),
+		vows: leaser.NewWitnesses(), refusals: map[cowslipbend.Incarnation]int{},
 		settings: s, clock: clock, log: log, life: cowslipbend.Incarnation(cowslipbend.DrawID()),
 		store: storer.New(s.Store, storeTimeout), track: tracker.New(clock, s.Domain),
 		config: publisher.NewHolder(s.Secret, log), limits: limiter.New(clock), http: dialer.Pooled(s.Secret),
--- a/tracker/peer.go
+++ b/tracker/peer.go
@@ -35,6 +35,17 @@
 	}
 }
 
+// Lost takes the word that nobody listens any more at the URL of a life of a
+// peer, which then counts as silent.
+func (t *Tracker) Lost(id cowslipbend.EntryID, life cowslipbend.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p, known := t.peers[id]; known && p.Life == life {
+		p.Seen = 0
+		t.peers[id] = p
+	}
+}
+
 // Peers returns all known entries in the order of their ids.
 func (t *Tracker) Peers() []Peer {
 	t.mu.Lock()
