--- a/agent/runner/calls.go
+++ b/agent/runner/calls.go
@@ -24,31 +24,36 @@
 		return nil, control.ToTwirp(cowslipbend.Fail(cowslipbend.KindStale, "order is for an earlier life of this agent", "wait for its heartbeat"))
 	}
 	epoch := cowslipbend.Epoch(r.GetEpoch())
-	if err := a.tasks.Order(epoch); err != nil {
+	if err := a.tasks.Order(epoch, cowslipbend.Time(r.GetToken())); err != nil {
 		return nil, control.ToTwirp(err)
 	}
 	reply := &control.OrderReply{}
 	for _, t := range r.GetStarts() {
-		if err := c.start(ctx, t, epoch); err != nil {
+		err := c.start(ctx, t, epoch, cowslipbend.Time(r.GetToken()))
+		if cowslipbend.KindOf(err) == cowslipbend.KindLate {
+			a.log.Debug("start waits for a lease", "task", t.GetTask(), "attempt", t.GetAttempt())
+			continue // This is no final refusal, and the owner sends it again.
+		}
+		if err != nil {
 			reply.Refused = append(reply.Refused, &control.Refusal{Task: t.GetTask(), Attempt: t.GetAttempt(), Reason: err.Error()})
 		}
 	}
 	for _, e := range r.GetEvicts() {
-		if err := a.tasks.Evict(ctx, epoch, cowslipbend.TaskID(e.GetTask()), cowslipbend.Attempt(e.GetAttempt())); err != nil {
+		if err := a.tasks.Evict(ctx, cowslipbend.TaskID(e.GetTask()), cowslipbend.Attempt(e.GetAttempt())); err != nil {
 			a.log.Info("eviction failed", "task", e.GetTask(), "error", err)
 		}
 	}
 	for _, e := range r.GetStops() {
-		if err := a.tasks.Stop(ctx, epoch, cowslipbend.TaskID(e.GetTask()), cowslipbend.Attempt(e.GetAttempt())); err != nil {
+		if err := a.tasks.Stop(ctx, cowslipbend.TaskID(e.GetTask()), cowslipbend.Attempt(e.GetAttempt())); err != nil {
 			a.log.Info("stop failed", "task", e.GetTask(), "error", err)
 		}
 	}
 	return reply, nil
 }
 
-func (c *calls) start(ctx context.Context, t *control.Task, epoch cowslipbend.Epoch) error {
+func (c *calls) start(ctx context.Context, t *control.Task, epoch cowslipbend.Epoch, token cowslipbend.Time) error {
 	if err := t.Check(); err != nil {
 		return err
 	}
-	return c.agent.tasks.Start(ctx, t.Start(epoch))
+	return c.agent.tasks.Start(ctx, t.Start(epoch), token)
 }
--- a/entry/runner/member.go
+++ b/entry/runner/member.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"slices"
+	"syscall"
 
 	"golang.org/x/sync/errgroup"
 
@@ -89,23 +92,42 @@
 // sync calls every other entry.
 func (e *Entry) sync(ctx context.Context) error {
 	var g errgroup.Group
-	for _, p := range e.track.Peers() {
+	for _, p := range e.contacts() {
 		g.Go(func() error {
 			e.call(ctx, p)
 			return nil
 		})
 	}
 	_ = g.Wait()
+	e.compare()
 	e.track.Sweep(agentSilence)
 	e.limits.Tick(e.others())
 	return nil
 }
 
+// contacts returns the entries to call: the known ones, and those of the
+// settings that no known one stands for.
+func (e *Entry) contacts() []tracker.Peer {
+	peers := e.track.Peers()
+	known := map[string]bool{e.URL(): true}
+	for _, p := range peers {
+		known[p.URL] = true
+	}
+	for _, url := range e.settings.Peers {
+		if !known[url] {
+			peers = append(peers, tracker.Peer{URL: url})
+		}
+	}
+	return peers
+}
+
+// call exchanges membership with one entry.
 func (e *Entry) call(ctx context.Context, p tracker.Peer) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout.Duration())
 	defer cancel()
 	client := control.NewEntryProtobufClient(p.URL, e.http)
 	reply, err := client.Sync(ctx, &control.SyncRequest{Self: toPeer(e.peer()), Revision: int64(e.config.Revision()), Counts: e.counts()})
+	e.refused(p, err)
 	if err != nil {
 		return // Silence is what tells.
 	}
@@ -118,6 +140,35 @@
 	}
 }
 
+// maxRefused is the count of calls in a row that find nobody listening after
+// which a peer counts as silent at once.
+const maxRefused = 2
+
+// refused counts the calls to a peer that found nobody listening.
+func (e *Entry) refused(p tracker.Peer, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		delete(e.refusals, p.Life)
+		return
+	}
+	e.refusals[p.Life]++
+	if e.refusals[p.Life] == maxRefused {
+		e.track.Lost(p.ID, p.Life)
+	}
+}
+
+// compare has the pools looked at at once when the live entries have changed.
+func (e *Entry) compare() {
+	live := e.Witnesses()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !slices.Equal(live, e.live) {
+		e.live = live
+		e.owners.Nudge()
+	}
+}
+
 // hear takes word from a peer itself.
 func (e *Entry) hear(p *control.Peer, rev cowslipbend.Revision) {
 	peer := fromPeer(p)
--- a/tasker/tasker.go
+++ b/tasker/tasker.go
@@ -15,10 +15,33 @@
 	attempt cowslipbend.Attempt
 }
 
+// mark is the newest attempt of a task that was ordered here, and when.
+type mark struct {
+	attempt cowslipbend.Attempt
+	at      cowslipbend.Time
+}
+
+// Times for which refusals are remembered. An order older than OrderAge is
+// not taken at all, so that what is older than markAge can be forgotten: no
+// late duplicate of a refused order can be taken for a new one.
+const (
+	OrderAge = cowslipbend.Minute
+	markAge  = 2 * OrderAge
+)
+
 // held is one attempt that the worker holds.
 type held struct {
 	start  cowslipbend.Start
 	status cowslipbend.TaskStatus
+	// known is set once the worker has confirmed that it has the attempt, at
+	// the moment since.
+	known bool
+	since cowslipbend.Time
+	// until is the end of its lease; zero for what an earlier life of this
+	// agent started, whose end only the worker knows.
+	until cowslipbend.Time
+	// asking is set while the worker is being asked to start it.
+	asking bool
 }
 
 // Tasker holds the tasks of one worker. It is safe for concurrent use.
@@ -29,14 +52,21 @@
 	machine cowslipbend.Machine
 	clock   cowslipbend.Clock
 
-	mu      sync.Mutex
-	size    cowslipbend.Resources
-	epoch   cowslipbend.Epoch
+	mu   sync.Mutex
+	size cowslipbend.Resources
+	// asked is set once the worker has told what it holds.
+	asked bool
+	epoch cowslipbend.Epoch
+	// until is the end of the newest lease; it has not lapsed since the
+	// heartbeat that was sent at the moment begun.
 	until   cowslipbend.Time
+	begun   cowslipbend.Time
 	tasks   map[cowslipbend.TaskID]*held
-	newest  map[cowslipbend.TaskID]cowslipbend.Attempt
+	newest  map[cowslipbend.TaskID]mark
 	reports map[key]cowslipbend.TaskStatus
-	usage   []cowslipbend.TaskStatus
+	// fresh is set when a report is new.
+	fresh bool
+	usage []cowslipbend.TaskStatus
 }
 
 // New returns a tasker for the worker.
@@ -45,15 +75,25 @@
 		machine: machine,
 		clock:   clock,
 		tasks:   map[cowslipbend.TaskID]*held{},
-		newest:  map[cowslipbend.TaskID]cowslipbend.Attempt{},
+		newest:  map[cowslipbend.TaskID]mark{},
 		reports: map[key]cowslipbend.TaskStatus{},
 	}
 }
 
-// Order takes the owner's epoch. It returns KindStale for an earlier one.
-func (t *Tasker) Order(epoch cowslipbend.Epoch) error {
+// Order takes the owner's epoch and the newest moment of this host's clock
+// that the owner had heard of when it gave the order. It returns KindStale for
+// an earlier epoch or an old order, and KindDown while the worker has not yet
+// told what an earlier life of this agent left on it. None of them tells that
+// an attempt never ran.
+func (t *Tasker) Order(epoch cowslipbend.Epoch, token cowslipbend.Time) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.asked {
+		return cowslipbend.Fail(cowslipbend.KindDown, "worker has not told yet what it holds", "send the order again")
+	}
+	if t.clock.Now().Sub(token) > OrderAge {
+		return cowslipbend.Fail(cowslipbend.KindStale, "order is older than "+OrderAge.String(), "send it again after the next heartbeat")
+	}
 	return t.order(epoch)
 }
 
@@ -66,35 +106,88 @@
 }
 
 // Grant moves the end of the batch lease to the span after the moment the
-// heartbeat was sent. The lease never moves back within an epoch.
-func (t *Tasker) Grant(epoch cowslipbend.Epoch, sent cowslipbend.Time, lease cowslipbend.Span) error {
+// heartbeat was sent, for the attempts that the heartbeat named: the owner has
+// compared just these with its journal. The lease never moves back.
+func (t *Tasker) Grant(epoch cowslipbend.Epoch, sent cowslipbend.Time, lease cowslipbend.Span, named []cowslipbend.TaskStatus) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err := t.order(epoch); err != nil {
 		return err
 	}
-	t.until = max(t.until, sent.Add(lease))
+	if t.until <= t.clock.Now() {
+		t.begun = sent
+	}
+	end := sent.Add(lease)
+	t.until = max(t.until, end)
+	for _, s := range named {
+		if h, ok := t.tasks[s.Task]; ok && h.start.Attempt == s.Attempt {
+			h.until = max(h.until, end)
+		}
+	}
 	return nil
 }
 
 // Start runs an attempt on the worker, or refuses it: KindStale for an old
-// epoch or attempt, KindBusy if it does not fit, KindLate without a lease.
-func (t *Tasker) Start(ctx context.Context, s cowslipbend.Start) error {
-	repeated, err := t.reserve(&s)
+// epoch or attempt and KindBusy if it does not fit are final; KindLate, without
+// a lease that has lasted since the moment token of the order, is not.
+func (t *Tasker) Start(ctx context.Context, s cowslipbend.Start, token cowslipbend.Time) error {
+	repeated, err := t.reserve(&s, token)
 	if err != nil || repeated {
 		return err
 	}
-	if err := t.machine.Start(ctx, s); err != nil {
-		t.failed(s, err)
-		return nil
-	}
+	t.ask(ctx, s)
 	return nil
 }
 
+// ask has the worker start an attempt. Without an answer the attempt stays
+// held, and the next poll asks again: the worker takes it once.
+func (t *Tasker) ask(ctx context.Context, s cowslipbend.Start) {
+	err := t.machine.Start(ctx, s)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, ok := t.tasks[s.Task]
+	if !ok || h.start.Attempt != s.Attempt {
+		return
+	}
+	h.asking = false
+	switch cowslipbend.KindOf(err) {
+	case "":
+		h.known, h.since = true, t.clock.Now()
+	case cowslipbend.KindDown, cowslipbend.KindUnknown:
+	default:
+		t.end(h, cowslipbend.TaskStatus{Failed: true, Reason: err.Error()})
+	}
+}
+
+// end turns a held attempt that the worker does not have into a report.
+func (t *Tasker) end(h *held, s cowslipbend.TaskStatus) {
+	s.Task, s.Attempt, s.Phase = h.start.Task, h.start.Attempt, cowslipbend.Queued
+	delete(t.tasks, s.Task)
+	t.report(s)
+}
+
+// report keeps the end of an attempt until the owner acknowledges it.
+func (t *Tasker) report(s cowslipbend.TaskStatus) {
+	k := key{s.Task, s.Attempt}
+	if _, known := t.reports[k]; !known {
+		t.fresh = true
+	}
+	t.reports[k] = s
+}
+
+// Fresh reports whether attempts have ended since it was last called.
+func (t *Tasker) Fresh() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fresh := t.fresh
+	t.fresh = false
+	return fresh
+}
+
 // reserve records the attempt before the worker is asked. It reports true for
 // the repeat of an order that was accepted: refusing that would tell the owner
 // that an attempt never ran which runs here.
-func (t *Tasker) reserve(s *cowslipbend.Start) (repeated bool, err error) {
+func (t *Tasker) reserve(s *cowslipbend.Start, token cowslipbend.Time) (repeated bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err := t.order(s.Epoch); err != nil {
@@ -103,6 +196,11 @@
 	if t.accepted(s.Task, s.Attempt) {
 		return true, nil
 	}
+	// Once the lease has lapsed the owner may have placed elsewhere what it
+	// ordered before.
+	if s.Service == "" && (t.until <= t.clock.Now() || token < t.begun) {
+		return false, cowslipbend.Fail(cowslipbend.KindLate, "the batch lease has lapsed since the order", "send it again after the next heartbeat")
+	}
 	return false, t.admit(s)
 }
 
@@ -118,41 +216,25 @@
 
 // admit refuses an attempt for good or makes room for it.
 func (t *Tasker) admit(s *cowslipbend.Start) error {
-	if s.Attempt <= t.newest[s.Task] {
+	if s.Attempt <= t.newest[s.Task].attempt {
 		return cowslipbend.Fail(cowslipbend.KindStale, fmt.Sprintf("attempt %d of %s is not newer", s.Attempt, s.Task), "read the pool's journal")
 	}
 	// From here on a refusal is final: a late duplicate of the order must not
 	// start what the owner has placed elsewhere.
-	t.newest[s.Task] = s.Attempt
+	t.newest[s.Task] = mark{s.Attempt, t.clock.Now()}
 	if _, runs := t.tasks[s.Task]; runs {
 		return cowslipbend.Fail(cowslipbend.KindBusy, "an earlier attempt of "+string(s.Task)+" is still here", "wait for its report")
 	}
-	if s.Service == "" && t.until <= t.clock.Now() {
-		return cowslipbend.Fail(cowslipbend.KindLate, "the batch lease has lapsed", "renew it by a heartbeat first")
-	}
 	if sum := t.reserved().Plus(s.Size); !sum.Fits(t.size) {
 		return cowslipbend.Fail(cowslipbend.KindBusy, "task "+string(s.Task)+" does not fit beside the others", "place it elsewhere")
 	}
 	if s.Service == "" {
 		s.Until = t.until
 	}
-	t.tasks[s.Task] = &held{start: *s, status: cowslipbend.TaskStatus{Task: s.Task, Attempt: s.Attempt, Size: s.Size, Phase: cowslipbend.Assigned}}
+	t.tasks[s.Task] = &held{start: *s, until: t.until, asking: true, status: cowslipbend.TaskStatus{Task: s.Task, Attempt: s.Attempt, Size: s.Size, Phase: cowslipbend.Assigned}}
 	return nil
 }
 
-// failed turns a start that the worker refused into a report.
-func (t *Tasker) failed(s cowslipbend.Start, cause error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if cowslipbend.KindOf(cause) == cowslipbend.KindDown {
-		return // It may run; the next status tells.
-	}
-	delete(t.tasks, s.Task)
-	t.reports[key{s.Task, s.Attempt}] = cowslipbend.TaskStatus{
-		Task: s.Task, Attempt: s.Attempt, Phase: cowslipbend.Queued, Failed: true, Reason: cause.Error(),
-	}
-}
-
 func (t *Tasker) reserved() cowslipbend.Resources {
 	var sum cowslipbend.Resources
 	for _, h := range t.tasks {
@@ -161,20 +243,14 @@
 	return sum
 }
 
-// Evict checkpoints and stops an attempt. An unknown attempt is no error, as
+// Evict checkpoints and stops an attempt, after Order was asked. An unknown attempt is no error, as
 // its report is on the way.
-func (t *Tasker) Evict(ctx context.Context, epoch cowslipbend.Epoch, task cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
-	if err := t.Order(epoch); err != nil {
-		return err
-	}
+func (t *Tasker) Evict(ctx context.Context, task cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
 	return t.machine.Evict(ctx, task, attempt)
 }
 
-// Stop ends an attempt without a checkpoint.
-func (t *Tasker) Stop(ctx context.Context, epoch cowslipbend.Epoch, task cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
-	if err := t.Order(epoch); err != nil {
-		return err
-	}
+// Stop ends an attempt without a checkpoint, after Order was asked.
+func (t *Tasker) Stop(ctx context.Context, task cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
 	return t.machine.Stop(ctx, task, attempt)
 }
 
@@ -187,35 +263,79 @@
 		return err
 	}
 	leases := t.merge(status, asked)
+	for _, s := range t.unanswered() {
+		t.ask(ctx, s)
+	}
 	if len(leases) == 0 {
 		return nil
 	}
 	return t.machine.Lease(ctx, leases)
 }
 
+// unanswered returns the starts to ask the worker for again.
+func (t *Tasker) unanswered() []cowslipbend.Start {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []cowslipbend.Start
+	for _, h := range t.tasks {
+		if h.known || h.asking {
+			continue
+		}
+		h.asking = true
+		if h.start.Service == "" {
+			h.start.Until = h.until
+		}
+		list = append(list, h.start)
+	}
+	return list
+}
+
 // merge takes a status into the table and returns the lease ends to set.
-func (t *Tasker) merge(status cowslipbend.MachineStatus, _ cowslipbend.Time) map[cowslipbend.TaskID]cowslipbend.Time {
+func (t *Tasker) merge(status cowslipbend.MachineStatus, asked cowslipbend.Time) map[cowslipbend.TaskID]cowslipbend.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.size = status.Size
+	t.size, t.asked = status.Size, true
+	now := t.clock.Now()
 	t.usage = t.usage[:0]
-	leases := map[cowslipbend.TaskID]cowslipbend.Time{}
+	leases, there := map[cowslipbend.TaskID]cowslipbend.Time{}, map[cowslipbend.TaskID]bool{}
 	for _, s := range status.Tasks {
-		t.newest[s.Task] = max(t.newest[s.Task], s.Attempt)
+		t.newest[s.Task] = mark{max(t.newest[s.Task].attempt, s.Attempt), now}
 		if s.Phase != cowslipbend.Running {
 			t.ended(s)
 			continue
 		}
 		h := t.adopt(s)
-		h.status = s
+		h.status, h.known, h.since = s, true, asked
+		there[s.Task] = true
 		t.usage = append(t.usage, s)
-		if s.Service == "" {
-			leases[s.Task] = t.until
+		if s.Service == "" && h.until != 0 {
+			leases[s.Task] = h.until
 		}
 	}
+	t.missing(there, asked)
+	t.forget(now)
 	return leases
 }
 
+// missing reports the attempts that the worker had and that are not in a
+// status asked for later: it was restarted and lost them.
+func (t *Tasker) missing(there map[cowslipbend.TaskID]bool, asked cowslipbend.Time) {
+	for id, h := range t.tasks {
+		if !there[id] && h.known && h.since < asked {
+			t.end(h, cowslipbend.TaskStatus{Reason: "worker no longer has it"})
+		}
+	}
+}
+
+// forget drops the marks that no order can be compared with any more.
+func (t *Tasker) forget(now cowslipbend.Time) {
+	for id, m := range t.newest {
+		if _, runs := t.tasks[id]; !runs && now.Sub(m.at) > markAge {
+			delete(t.newest, id)
+		}
+	}
+}
+
 // adopt returns the entry of a running task, making one for a task that an
 // earlier life of this agent started.
 func (t *Tasker) adopt(s cowslipbend.TaskStatus) *held {
@@ -228,7 +348,7 @@
 }
 
 func (t *Tasker) ended(s cowslipbend.TaskStatus) {
-	t.reports[key{s.Task, s.Attempt}] = s
+	t.report(s)
 	if h, ok := t.tasks[s.Task]; ok && h.start.Attempt == s.Attempt {
 		delete(t.tasks, s.Task)
 	}
