scheduler: run what fits only beside the services, evict for urgent work later

A worker of 16 cores with a replica of 6 and 10% headroom never had room for a declared size of 8.4 to 10 cores, and a task larger than what the services leave waited for ever.

Change: headroom is waived if services leave too little for it; a task that fits on no worker beside its services is parked after 30 s; others are evicted for urgent work only after it has waited a second; an unknown class counts as harmful until it is measured.

--- a/placement.go
+++ b/placement.go
@@ -55,7 +55,7 @@
 func (h *Host) Free() Resources { return h.Spec.Size.Minus(h.Reserved).Minus(h.Strays) }
 
 // Room returns how much the asking task may reserve here. Headroom is waived
-// for a task that is too large ever to leave it free.
+// for a task that is too large ever to leave it free beside the services.
 func (h *Host) Room(a *Ask) Resources {
 	room := h.Free()
 	if a.Service == "" {
@@ -64,7 +64,7 @@
 			room = room.Plus(a.Held)
 		}
 	}
-	if a.ordinary() && a.Size.Fits(h.Spec.Size.Minus(h.Spare)) {
+	if a.ordinary() && a.Size.Fits(h.Spec.Size.Minus(h.Fixed).Minus(h.Spare)) {
 		room = room.Minus(h.Spare)
 	}
 	return room
--- a/placer/pairs.go
+++ b/placer/pairs.go
@@ -8,7 +8,7 @@
 const (
 	maxNeighbours = 31
 	pairFade      = 0.998 // weight of a sample after one more of the service
-	prior         = 0.01  // slow-down for each core of an unknown neighbour
+	prior         = 0.1   // slow-down for each core of an unknown neighbour
 	priorWeight   = 3.0   // samples that the prior is worth, with one core each
 	priorTail     = 5.0   // milliseconds, until a tail is measured
 	solveEvery    = 16    // samples between two solutions
--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -62,11 +62,11 @@
 		return none, queuer.Blocked
 	}
 	t := a.state.Tasks[item.Task]
-	if reason := a.hopeless(t, job); reason != "" {
+	ask := a.ask(t, job)
+	if reason := a.hopeless(t, job, ask.Size); reason != "" {
 		a.recs = append(a.recs, cowslipbend.Record{Kind: cowslipbend.RecParked, Task: t.ID, Reason: reason, At: a.wall})
 		return none, queuer.Passed
 	}
-	ask := a.ask(t, job)
 	if !quota.Allows(ask.Size) {
 		return none, queuer.Blocked
 	}
@@ -115,6 +115,17 @@
 	return false
 }
 
+// holdsBeside reports whether some worker can hold the size once its batch has
+// ended.
+func (e *Engine) holdsBeside(size cowslipbend.Resources) bool {
+	for _, h := range e.index.hosts {
+		if size.Fits(h.Spec.Size.Minus(h.Fixed)) {
+			return true
+		}
+	}
+	return false
+}
+
 // isFull reports whether no host took as much or less of the kind in this
 // pass, or had room for it.
 func (a *assigning) isFull(job *cowslipbend.Job, size cowslipbend.Resources) bool {
@@ -153,7 +164,7 @@
 }
 
 // hopeless returns why the task is to be set aside, or nothing.
-func (a *assigning) hopeless(t *journaler.Task, job *cowslipbend.Job) string {
+func (a *assigning) hopeless(t *journaler.Task, job *cowslipbend.Job, size cowslipbend.Resources) string {
 	if n := distinct(t.Failed); n > 0 && n >= min(a.opts.Park, len(a.index.hosts)) {
 		return fmt.Sprintf("failed on %d workers", n)
 	}
@@ -161,6 +172,9 @@
 	if waited > a.opts.Unfit && len(a.index.hosts) > 0 && !a.holdsEver(job.Size) {
 		return "no worker of the pool can hold it"
 	}
+	if waited > a.opts.Beside && job.Batch() && !a.holdsBeside(size) {
+		return "no worker of the pool can hold it beside its services"
+	}
 	return ""
 }
 
@@ -170,7 +184,8 @@
 	if _, held := a.holds[t.ID]; held {
 		return queuer.Passed
 	}
-	if !job.Batch() || job.Urgency == cowslipbend.Urgent {
+	first := !job.Batch() || job.Urgency == cowslipbend.Urgent
+	if first && a.wall.Sub(t.Since) >= a.opts.Grace {
 		if a.evictFor(t, ask) {
 			return queuer.Passed
 		}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -21,8 +21,10 @@
 	// further one up to MaxRetry.
 	Retry    cowslipbend.Span
 	MaxRetry cowslipbend.Span
-	// Unfit is how long a task waits for a worker that can ever hold it.
-	Unfit cowslipbend.Span
+	// Unfit is how long a task waits for a worker that can ever hold it, Beside
+	// for one that can hold it beside the services there.
+	Unfit  cowslipbend.Span
+	Beside cowslipbend.Span
 	// Aged is the wait after which room is held for a task that does not fit.
 	Aged cowslipbend.Span
 	// Spare is the wait after which spare work counts as normal.
@@ -32,6 +34,9 @@
 	Faults int
 	// Probe is the time between two attempts on a worker in quarantine.
 	Probe cowslipbend.Span
+	// Grace is how long urgent work waits for room to fall free before others
+	// are evicted for it.
+	Grace cowslipbend.Span
 	// Evict is the mean time between two evictions that the owner orders, and
 	// Burst how many it may order at once.
 	Evict cowslipbend.Span
@@ -44,10 +49,10 @@
 func Defaults() Options {
 	return Options{
 		Suspect: 3 * cowslipbend.Second, Resend: cowslipbend.Second, Park: 3, Starts: 200,
-		Retry: cowslipbend.Second, MaxRetry: cowslipbend.Minute, Unfit: 10 * cowslipbend.Second,
+		Retry: cowslipbend.Second, MaxRetry: cowslipbend.Minute, Unfit: 10 * cowslipbend.Second, Beside: 30 * cowslipbend.Second,
 		Aged: 10 * cowslipbend.Second, Spare: 10 * cowslipbend.Minute,
 		Faults: 3, Probe: 5 * cowslipbend.Second,
-		Evict: cowslipbend.Second, Burst: 16, Often: 2,
+		Grace: cowslipbend.Second, Evict: cowslipbend.Second, Burst: 16, Often: 2,
 	}
 }
 
