scheduler: headroom in whole urgent tasks; guard never holds batch for good

Change: if the declared part of a worker holds no urgent task, some workers keep room for a whole one and others none. Twelve measurements between the bounds release a step.

Tried and not kept: bounds of 70 and 55% and of 80 and 60% of the objective.

--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -67,6 +67,9 @@
 		a.recs = append(a.recs, cowslipbend.Record{Kind: cowslipbend.RecParked, Task: t.ID, Reason: reason, At: a.wall})
 		return none, queuer.Passed
 	}
+	if job.Batch() && job.Urgency == cowslipbend.Urgent {
+		a.urgent = larger(a.urgent, ask.Size)
+	}
 	if !quota.Allows(ask.Size) {
 		return none, queuer.Blocked
 	}
@@ -91,6 +94,11 @@
 	return ask.Size, queuer.Placed
 }
 
+// larger returns the larger of each part.
+func larger(a, b cowslipbend.Resources) cowslipbend.Resources {
+	return cowslipbend.Resources{CPU: max(a.CPU, b.CPU), Mem: max(a.Mem, b.Mem), Accel: max(a.Accel, b.Accel)}
+}
+
 // ask returns what the task asks of a host.
 func (a *assigning) ask(t *journaler.Task, job *cowslipbend.Job) cowslipbend.Ask {
 	ask := cowslipbend.Ask{
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -90,6 +90,8 @@
 	// declared lists the declared jobs that are to be submitted.
 	declared []*cowslipbend.Job
 	headroom int // percent
+	// urgent is the largest urgent task that was asked for, part by part.
+	urgent   cowslipbend.Resources
 	health   *health
 	evicting *evicting
 	holds    map[cowslipbend.TaskID]hold
@@ -363,10 +365,10 @@
 
 // refresh brings the hosts up to date with time, settings and holds.
 func (e *Engine) refresh(now cowslipbend.Time) {
-	for _, h := range e.index.hosts {
+	for i, h := range e.index.hosts {
 		w, s := e.state.Workers[h.Spec.ID], e.seen[h.Spec.ID]
 		h.Usable = w.Condition == journaler.Fit && !w.Drained && present(s, now, e.opts.Suspect)
-		h.Spare = part(h.Spec.Size, e.headroom)
+		h.Spare = e.spare(i, h)
 		h.Held = cowslipbend.Resources{}
 	}
 	for _, d := range e.holds {
@@ -376,6 +378,22 @@
 	}
 }
 
+// spare returns the headroom of the i-th worker. If the declared part of one
+// worker is less than an urgent task, some workers have room for a whole one
+// and the others none, so that the pool keeps as much free as declared.
+func (e *Engine) spare(i int, h *cowslipbend.Host) cowslipbend.Resources {
+	even := part(h.Spec.Size, e.headroom)
+	need := e.urgent.Share(h.Spec.Size)
+	if e.headroom == 0 || e.urgent.Fits(even) || !e.urgent.Fits(h.Spec.Size) {
+		return even
+	}
+	each := float64(e.headroom) / percent / need
+	if int(float64(i+1)*each) > int(float64(i)*each) {
+		return e.urgent
+	}
+	return cowslipbend.Resources{}
+}
+
 // present reports whether the worker is heard from and stays.
 func present(s *seen, now cowslipbend.Time, suspect cowslipbend.Span) bool {
 	return s != nil && s.heard && !s.leaving && now.Sub(s.at) <= suspect
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -149,6 +149,38 @@
 	}
 }
 
+// TestHeadroom asserts that the headroom of a pool holds whole urgent tasks,
+// though its part of one worker is less than one, so that they start at once
+// and nothing is evicted.
+func TestHeadroom(t *testing.T) {
+	f := smallFleet(t, 10)
+	f.ends = func(_ *fakeWorker, s *cowslipbend.TaskStatus) bool { return s.Class == "close" && finish(s) }
+	f.engine.Declare(testSet())
+	urgent := func(i int) cowslipbend.TaskID {
+		j := job(fmt.Sprint("close-", i), 1, 2*cowslipbend.Core)
+		j.Urgency, j.Class, j.Team = cowslipbend.Urgent, "close", "auditors"
+		f.submit(j)
+		return cowslipbend.MakeTaskID(j.ID, 0)
+	}
+	urgent(0)
+	f.steps(second)
+	long := job("long", 200, cowslipbend.Core)
+	long.Team = "agents"
+	f.submit(long)
+	f.steps(3 * second)
+	for i := range 10 {
+		at, id := f.now, urgent(i+1)
+		f.steps(2)
+		assert.Equal(t, f.begun[id].Sub(at), stepLength)
+	}
+	assert.Equal(t, f.kinds[cowslipbend.RecEvicted], 0)
+	free := f.engine.index.total.CPU
+	for _, h := range f.engine.index.hosts {
+		free -= h.Reserved.CPU
+	}
+	assert.Assert(t, free*percent <= f.engine.index.total.CPU*10, "%d millicores are free", free)
+}
+
 // TestEvictionReleasesNothing asserts that the intention to evict leaves the
 // reservation until the worker reports.
 func TestEvictionReleasesNothing(t *testing.T) {
--- a/throttler/guard.go
+++ b/throttler/guard.go
@@ -36,8 +36,11 @@
 	// what one release gives back, in percent.
 	Floor int
 	Raise int
-	// Calm is the count of good measurements before each release.
-	Calm int
+	// Calm is the count of good measurements before each release, Steady that
+	// of measurements that are neither good nor bad, so that batch is never
+	// held down for good.
+	Calm   int
+	Steady int
 	// Bad is the count of bad measurements with all harmful batch at its floor
 	// before an eviction.
 	Bad int
@@ -54,7 +57,7 @@
 func Defaults() Options {
 	return Options{
 		Mode: Throttle, High: 90, Low: 70, Served: 20, Settle: cowslipbend.Second,
-		Floor: 10, Raise: 15, Calm: 3, Bad: 20,
+		Floor: 10, Raise: 15, Calm: 3, Steady: 12, Bad: 20,
 		Evict: 30 * cowslipbend.Second, Again: cowslipbend.Minute, Blame: 3,
 	}
 }
@@ -104,6 +107,7 @@
 	counted cowslipbend.Time
 	learned cowslipbend.Time
 	calm    int
+	steady  int
 	bad     int
 	evicted cowslipbend.Time
 	jobs    map[cowslipbend.JobID]cowslipbend.Time
@@ -180,7 +184,7 @@
 func (g *Guard) react(v *view, pressure int, now cowslipbend.Time) []Action {
 	switch {
 	case pressure > g.opts.High:
-		g.calm = 0
+		g.calm, g.steady = 0, 0
 		g.bad++
 		if g.opts.Mode == Throttle && g.lower(v, pressure) {
 			g.bad = 0
@@ -193,11 +197,15 @@
 	case pressure < g.opts.Low:
 		g.bad = 0
 		if g.calm++; g.calm >= g.opts.Calm && g.raise(v) {
-			g.calm = 0
+			g.calm, g.steady = 0, 0
 			g.act(now)
 		}
 	default:
 		g.bad, g.calm = 0, 0
+		if g.steady++; g.steady >= g.opts.Steady && g.raise(v) {
+			g.steady = 0
+			g.act(now)
+		}
 	}
 	return nil
 }
--- a/throttler/guard_test.go
+++ b/throttler/guard_test.go
@@ -206,6 +206,17 @@
 	assert.Equal(t, last, whole)
 }
 
+// TestNeverHeldForGood asserts that batch also gets its share back while the
+// tail stays between the bounds.
+func TestNeverHeldForGood(t *testing.T) {
+	b := newBench(Throttle, task("a/0", "netting", 8*cowslipbend.Core))
+	b.tail, b.noise = 38, 0.1
+	b.run(8 * cowslipbend.Second)
+	b.tail, b.noise = 25, 0
+	b.run(cowslipbend.Minute)
+	assert.Equal(t, b.percents()["a/0"], whole)
+}
+
 // TestEvictionRate asserts that evictions of one worker keep their distance
 // and that a job is not hit twice in a row.
 func TestEvictionRate(t *testing.T) {
