--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -21,8 +21,10 @@
 	// further one up to MaxRetry.
 	Retry    cowslipbend.Span
 	MaxRetry cowslipbend.Span
-	// Unfit is how long a task waits for a worker that can ever hold it.
-	Unfit cowslipbend.Span
+	// Unfit is how long a task waits for a worker that can ever hold it, Beside
+	// for one that can hold it beside the services there.
+	Unfit  cowslipbend.Span
+	Beside cowslipbend.Span
 	// Aged is the wait after which room is held for a task that does not fit.
 	Aged cowslipbend.Span
 	// Spare is the wait after which spare work counts as normal.
@@ -32,6 +34,9 @@
 	Faults int
 	// Probe is the time between two attempts on a worker in quarantine.
 	Probe cowslipbend.Span
+	// Grace is how long urgent work waits for room to fall free before others
+	// are evicted for it.
+	Grace cowslipbend.Span
 	// Evict is the mean time between two evictions that the owner orders, and
 	// Burst how many it may order at once.
 	Evict cowslipbend.Span
@@ -44,10 +49,10 @@
 func Defaults() Options {
 	return Options{
 		Suspect: 3 * cowslipbend.Second, Resend: cowslipbend.Second, Park: 3, Starts: 200,
-		Retry: cowslipbend.Second, MaxRetry: cowslipbend.Minute, Unfit: 10 * cowslipbend.Second,
+		Retry: cowslipbend.Second, MaxRetry: cowslipbend.Minute, Unfit: 10 * cowslipbend.Second, Beside: 30 * cowslipbend.Second,
 		Aged: 10 * cowslipbend.Second, Spare: 10 * cowslipbend.Minute,
 		Faults: 3, Probe: 5 * cowslipbend.Second,
-		Evict: cowslipbend.Second, Burst: 16, Often: 2,
+		Grace: cowslipbend.Second, Evict: cowslipbend.Second, Burst: 16, Often: 2,
 	}
 }
 
@@ -85,6 +90,8 @@
 	// declared lists the declared jobs that are to be submitted.
 	declared []*cowslipbend.Job
 	headroom int // percent
+	// urgent is the largest urgent task that was asked for, part by part.
+	urgent   cowslipbend.Resources
 	health   *health
 	evicting *evicting
 	holds    map[cowslipbend.TaskID]hold
@@ -360,10 +367,10 @@
 
 // refresh brings the hosts up to date with time, settings and holds.
 func (e *Engine) refresh(now cowslipbend.Time) {
-	for _, h := range e.index.hosts {
+	for i, h := range e.index.hosts {
 		w, s := e.state.Workers[h.Spec.ID], e.seen[h.Spec.ID]
 		h.Usable = w.Condition == journaler.Fit && !w.Drained && present(s, now, e.opts.Suspect)
-		h.Spare = part(h.Spec.Size, e.headroom)
+		h.Spare = e.spare(i, h)
 		h.Held = cowslipbend.Resources{}
 	}
 	for _, d := range e.holds {
@@ -373,6 +380,22 @@
 	}
 }
 
+// spare returns the headroom of the i-th worker. If the declared part of one
+// worker is less than an urgent task, some workers have room for a whole one
+// and the others none, so that the pool keeps as much free as declared.
+func (e *Engine) spare(i int, h *cowslipbend.Host) cowslipbend.Resources {
+	even := part(h.Spec.Size, e.headroom)
+	need := e.urgent.Share(h.Spec.Size)
+	if e.headroom == 0 || e.urgent.Fits(even) || !e.urgent.Fits(h.Spec.Size) {
+		return even
+	}
+	each := float64(e.headroom) / percent / need
+	if int(float64(i+1)*each) > int(float64(i)*each) {
+		return e.urgent
+	}
+	return cowslipbend.Resources{}
+}
+
 // present reports whether the worker is heard from and stays.
 func present(s *seen, now cowslipbend.Time, suspect cowslipbend.Span) bool {
 	return s != nil && s.heard && !s.leaving && now.Sub(s.at) <= suspect
