beater: tell a new entry at once

Cause: an agent that learnt of a new entry told it only with the next heartbeat, so that a roll of all entries could leave none that knew the agents. Change: the first heartbeat follows at once.

--- a/beater/beater.go
+++ b/beater/beater.go
@@ -182,8 +182,12 @@
 // take applies a reply.
 func (b *Beater) take(ctx context.Context, url string, sent cowslipbend.Time, r *control.BeatReply) {
 	b.mu.Lock()
+	var fresh []string
 	for _, p := range r.GetEntries() {
-		b.learn(p.GetUrl())
+		if _, known := b.entries[p.GetUrl()]; !known {
+			b.learn(p.GetUrl())
+			fresh = append(fresh, p.GetUrl())
+		}
 	}
 	// Entries may disagree for a while; the highest epoch is the newest word.
 	if epoch := cowslipbend.Epoch(r.GetEpoch()); r.GetOwner() != "" && epoch >= b.epoch {
@@ -191,6 +195,9 @@
 		b.owner, b.epoch = r.GetOwner(), epoch
 	}
 	b.mu.Unlock()
+	for _, entry := range fresh {
+		b.beat(ctx, entry) // A new entry is not ready before it has heard the agents.
+	}
 	if rev := cowslipbend.Revision(r.GetRevision()); rev > b.config.Revision() {
 		b.config.Behind(url, rev)
 	}
