dialer, forwarder, router: prove that a request is sent once and how watches end

TestSendOnce without SendOnce counts a third run: the transport repeats a GET by itself. A kept answer no longer carries headers of the endpoint's connection. TestWatch is split: the same checks, and the end of a whole watch and of one through a leaving entry are new.

--- a/forwarder/void.go
+++ b/forwarder/void.go
@@ -35,6 +35,9 @@
 		reply.Status = int32(answer.Status)
 		reply.Body = answer.Body
 		for name, values := range answer.Header {
+			if hop[name] {
+				continue
+			}
 			for _, v := range values {
 				reply.Header = append(reply.Header, &control.Header{Name: name, Value: v})
 			}
--- /dev/null
+++ b/internal/dialer/once_test.go
@@ -0,0 +1,38 @@
+package dialer_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev/internal/dialer"
+)
+
+// TestSendOnce breaks the connection of a request that has reached the server.
+// The transport would send it again by itself on a new connection.
+func TestSendOnce(t *testing.T) {
+	var runs atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if runs.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer srv.Close()
+	client := dialer.Local(1)
+	send := func() error {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, srv.URL, nil)
+		assert.NilError(t, err)
+		dialer.SendOnce(req)
+		resp, err := client.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return err
+	}
+	assert.NilError(t, send(), "the connection is now open for reuse")
+	assert.ErrorContains(t, send(), "EOF")
+	assert.Equal(t, runs.Load(), int64(2))
+}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -197,43 +197,77 @@
 	})
 }
 
-func TestWatch(t *testing.T) {
-	s := newSystem(t, 1, 1)
-	s.set.Services[0].Timeout = 1 // A watch is not bound by it.
-	tick := make(chan struct{})
-	s.hosts[0].on(func(w http.ResponseWriter, r *http.Request) {
-		for {
+// ticks streams a line at once and one for each receive, until the channel is
+// closed or the caller goes away.
+func ticks(tick <-chan struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		for more := true; more; {
 			_, _ = io.WriteString(w, "tick ")
 			_ = http.NewResponseController(w).Flush()
 			select {
-			case _, more := <-tick:
-				if !more {
-					return
-				}
+			case _, more = <-tick:
 			case <-r.Context().Done():
 				return
 			}
 		}
+	}
+}
+
+func TestWatch(t *testing.T) {
+	s := newSystem(t, 1, 1)
+	s.set.Services[0].Timeout = 1 // A watch is not bound by it.
+	tick := make(chan struct{})
+	s.hosts[0].on(ticks(tick))
+	watch := func(t *testing.T) *http.Response {
+		resp := s.open(0, "w", cowslipbend.HeaderWatch, "1")
+		t.Cleanup(func() { _ = resp.Body.Close() })
+		assert.Equal(t, resp.Header.Get(cowslipbend.HeaderOutcome), string(cowslipbend.Ran))
+		readPart(t, resp.Body, "tick ")
+		return resp
+	}
+	ends := func(t *testing.T, resp *http.Response, end string) {
+		_, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Trailer.Get(cowslipbend.HeaderEnd), end)
+	}
+	t.Run("takes a connection and no slot", func(t *testing.T) {
+		resp := watch(t)
+		tick <- struct{}{}
+		readPart(t, resp.Body, "tick ")
+		state := s.hosts[0].gate.State("s")
+		assert.Equal(t, state.Inflight, 0)
+		assert.Equal(t, state.Open, 1)
+	})
+	t.Run("ends whole when the endpoint ends it", func(t *testing.T) {
+		s.hosts[0].on(ticks(closed()))
+		ends(t, watch(t), cowslipbend.EndWhole)
+		s.hosts[0].on(ticks(tick))
 	})
-	resp := s.open(0, "w", cowslipbend.HeaderWatch, "1")
-	defer resp.Body.Close()
-	assert.Equal(t, resp.Header.Get(cowslipbend.HeaderOutcome), string(cowslipbend.Ran))
-	readPart(t, resp.Body, "tick ")
-	tick <- struct{}{}
-	readPart(t, resp.Body, "tick ")
-	state := s.hosts[0].gate.State("s")
-	assert.Equal(t, state.Inflight, 0)
-	assert.Equal(t, state.Open, 1)
 	t.Run("ends cleanly when the agent leaves", func(t *testing.T) {
-		idle := s.hosts[0].gate.Leave()
+		resp := watch(t)
 		s.hosts[0].forward.EndWatches()
-		<-idle
-		_, err := io.ReadAll(resp.Body)
-		assert.NilError(t, err)
-		assert.Equal(t, resp.Trailer.Get(cowslipbend.HeaderEnd), cowslipbend.EndLeaving)
+		ends(t, resp, cowslipbend.EndLeaving)
 	})
 }
 
+func TestWatchOfLeavingEntry(t *testing.T) {
+	s := newSystem(t, 1, 1)
+	s.hosts[0].on(ticks(make(chan struct{})))
+	resp := s.open(0, "w", cowslipbend.HeaderWatch, "1")
+	defer resp.Body.Close()
+	readPart(t, resp.Body, "tick ")
+	s.entries[0].callers.EndWatches()
+	_, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Trailer.Get(cowslipbend.HeaderEnd), cowslipbend.EndLeaving)
+}
+
+func closed() <-chan struct{} {
+	ch := make(chan struct{})
+	close(ch)
+	return ch
+}
+
 func readPart(t *testing.T, from io.Reader, want string) {
 	t.Helper()
 	part := make([]byte, len(want))
--- a/router/system_test.go
+++ b/router/system_test.go
@@ -44,9 +44,10 @@
 
 // entry is the request path of an entry.
 type entry struct {
-	track  *tracker.Tracker
-	router *router.Router
-	server *server.Server
+	track   *tracker.Tracker
+	router  *router.Router
+	callers *receiver.Receiver
+	server  *server.Server
 }
 
 // host is the request path of an agent with one endpoint. Entries reach it
@@ -208,7 +209,8 @@
 	e.router = router.New(e.track, policy, claims, s.opts, timer.Host{}, log)
 	s.t.Cleanup(e.router.Close)
 	ec := echo.New()
-	receiver.New(e.router, limiter.New(timer.Host{}), s, func(cowslipbend.ServiceID, cowslipbend.Outcome, cowslipbend.Kind, time.Duration) {}, log).Register(ec)
+	e.callers = receiver.New(e.router, limiter.New(timer.Host{}), s, func(cowslipbend.ServiceID, cowslipbend.Outcome, cowslipbend.Kind, time.Duration) {}, log)
+	e.callers.Register(ec)
 	e.server, err = server.Listen("127.0.0.1:0", ec)
 	assert.NilError(s.t, err)
 	s.background(e.server.Run, e.server.Close)
