router: tell postings at once while the table is out

Cause: each claim waited for the table's timeout of 2 s while the table hung. Change: after three transactions in a row without an answer, claims are refused at once with advice when to ask again, and one each 250 ms tries the table.

--- a/router/claims.go
+++ b/router/claims.go
@@ -34,6 +34,7 @@
 	clock cowslipbend.Clock
 	ring  *ring.Ring[*change]
 	done  chan struct{}
+	out   outage
 }
 
 // change sets or removes one row that must have a version.
@@ -160,6 +161,9 @@
 
 // submit hands a change to the duty and waits for its result.
 func (t *TableClaims) submit(ctx context.Context, c *change) (int64, error) {
+	if err := t.out.refuse(t.clock.Now()); err != nil {
+		return 0, err
+	}
 	c.told = make(chan told, 1)
 	if !t.ring.Offer(c) {
 		return 0, &cowslipbend.Error{Kind: cowslipbend.KindBusy, What: "too many claims wait for the store", Remedy: "try again", After: cowslipbend.Second}
@@ -202,6 +206,7 @@
 func (t *TableClaims) commit(ctx context.Context, group []*change) {
 	together, alone := split(group)
 	version, err := t.table.Commit(ctx, transaction(together))
+	t.out.note(t.clock.Now(), err)
 	if len(together) > 1 && cowslipbend.KindOf(err) == cowslipbend.KindConflict {
 		alone = append(together, alone...)
 		together = nil
