stand: measure cases with several policies, keep lines, write tables and plots

Cause: figures need tries side by side and a page made from them. Change: stand measure plays every combination interleaved, appends result lines to results.jsonl and renders RESULTS.md with a plot per firm; a misdeclared size no longer also multiplies the run time.

--- a/stand/load/batch.go
+++ b/stand/load/batch.go
@@ -303,7 +303,7 @@
 func (b *Batch) job(name string, kind firm.Kind, truth factor) cowslipbend.Job {
 	cpu := cowslipbend.Millicores(min(float64(kind.Size.CPU)*truth.cpu, float64(b.firm.Size.CPU)/2))
 	mem := cowslipbend.Bytes(float64(kind.Size.Mem) * truth.mem)
-	total := float64(kind.Length) * truth.length * float64(kind.Size.CPU) / float64(cowslipbend.Core)
+	total := float64(kind.Length) * truth.length * float64(cpu) / float64(cowslipbend.Core)
 	w := worker.Work{CPU: cpu, Mem: mem, Total: cowslipbend.CPUTime(total)}
 	return cowslipbend.Job{
 		ID: cowslipbend.JobID(name), Pool: b.firm.Pool, Team: kind.Team, Class: kind.Class,
--- /dev/null
+++ b/stand/measure.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/internal/starter"
+	"cowslipbend.dev/stand/measurer"
+)
+
+func measureCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "measure",
+		Usage: "play cases with several policies, interleaved, and write tables and plots",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "firm", Value: []string{"fraser", "easement"}, Usage: "firm, repeatable", Sources: starter.Env("firm")},
+			&cli.StringSliceFlag{Name: "case", Value: []string{"deadline"}, Usage: "case, repeatable", Sources: starter.Env("case")},
+			&cli.StringSliceFlag{Name: "policy", Value: []string{"guarded", "firstfit", "leastloaded"}, Usage: "placement policy, repeatable", Sources: starter.Env("policy")},
+			starter.String("guard", "", "guard of the agents: throttle, evict or off; empty for the usual one"),
+			starter.String("only", "", "play services or batch alone"),
+			starter.Span("cap", 0, "cap of leases that witnesses extend; 0 for the usual one"),
+			&cli.IntFlag{Name: "seeds", Value: 3, Usage: "count of seeds, from 1; 0 only writes the page", Sources: starter.Env("seeds")},
+			starter.Span("for", 0, "how long callers call; 0 for each case's own length"),
+			starter.String("out", "docs", "directory of results.jsonl, RESULTS.md and plots"),
+			starter.String("log", "error", "level of the log"),
+		},
+		Action: runMeasure,
+	}
+}
+
+func runMeasure(ctx context.Context, c *cli.Command) error {
+	log, err := starter.Logger("measure", c.String("log"), os.Stderr)
+	if err != nil {
+		return err
+	}
+	if c.Int("seeds") < 0 {
+		return cowslipbend.Invalid("--seeds", "is below zero", "give a count such as 3")
+	}
+	return measurer.Run(ctx, measurer.Plan{
+		Firms: c.StringSlice("firm"), Cases: c.StringSlice("case"), Policies: c.StringSlice("policy"), Guard: c.String("guard"),
+		Only: c.String("only"), Cap: cowslipbend.SpanOf(c.Duration("cap")), Seeds: c.Int("seeds"),
+		For: cowslipbend.SpanOf(c.Duration("for")), Out: c.String("out"), Log: log,
+	})
+}
--- a/stand/try.go
+++ b/stand/try.go
@@ -21,6 +21,7 @@
 			starter.String("case", "quiet", "what is played; list names all cases"),
 			starter.String("policy", "guarded", "placement policy: guarded, firstfit or leastloaded"),
 			starter.String("routing", "", "routing policy of the entries; empty for the usual one"),
+			starter.String("guard", "", "guard of the agents: throttle, evict or off; empty for the usual one"),
 			starter.Span("cap", 0, "cap of leases that witnesses extend; 0 for the usual one"),
 			starter.String("only", "", "play services or batch alone"),
 			starter.Span("for", 0, "how long callers call; 0 for the case's own length"),
@@ -41,7 +42,7 @@
 	}
 	o := try.Options{
 		Firm: c.String("firm"), Case: c.String("case"), Policy: c.String("policy"), Routing: c.String("routing"),
-		Cap: cowslipbend.SpanOf(c.Duration("cap")), Only: c.String("only"),
+		Cap: cowslipbend.SpanOf(c.Duration("cap")), Only: c.String("only"), Guard: c.String("guard"),
 		For: cowslipbend.SpanOf(c.Duration("for")), Seed: c.Uint64("seed"), Log: log,
 	}
 	if isatty.IsTerminal(os.Stderr.Fd()) {
--- a/stand/try/try.go
+++ b/stand/try/try.go
@@ -22,6 +22,7 @@
 	"cowslipbend.dev/stand/judge"
 	"cowslipbend.dev/stand/load"
 	"cowslipbend.dev/stand/reporter"
+	"cowslipbend.dev/throttler"
 	"cowslipbend.dev/timer"
 )
 
@@ -69,6 +70,11 @@
 	default:
 		l.Add(cowslipbend.Invalid("--only", o.Only+" is unknown", "use services or batch, or leave it out"))
 	}
+	switch o.Guard {
+	case "", "throttle", "evict", "off":
+	default:
+		l.Add(cowslipbend.Invalid("--guard", o.Guard+" is unknown", "use throttle, evict or off"))
+	}
 	if o.For < 0 || (o.For > 0 && o.For < cowslipbend.Second) {
 		l.Add(cowslipbend.Invalid("--for", o.For.String()+" is too short", "give 1s or more"))
 	}
@@ -87,7 +93,11 @@
 	}
 }
 
-func (o *Options) agent(*agent.Settings) {}
+func (o *Options) agent(s *agent.Settings) {
+	if o.Guard != "" {
+		s.Guard = throttler.Mode(o.Guard)
+	}
+}
 
 // opTimeout bounds one call to an entry.
 const opTimeout = 5 * cowslipbend.Second
