--- a/stand/measurer/plot.go
+++ b/stand/measurer/plot.go
@@ -16,8 +16,8 @@
 
 // Sizes of a plot.
 const (
-	plotWidth  = 22 * vg.Centimeter
-	plotHeight = 12 * vg.Centimeter
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 5 * vg.Inch
 	dotRadius  = 4
 )
 
--- a/stand/measurer/run.go
+++ b/stand/measurer/run.go
@@ -28,8 +28,10 @@
 	Guard    string
 	Only     string
 	Cap      cowslipbend.Span
-	Seeds    int
-	For      cowslipbend.Span
+	// First is the first of so many seeds.
+	First uint64
+	Seeds int
+	For   cowslipbend.Span
 	// Out is the directory of documents.
 	Out string
 	Log hclog.Logger
@@ -56,7 +58,7 @@
 				for _, policy := range p.Policies {
 					o := try.Options{
 						Firm: firm, Case: name, Policy: policy, Guard: p.Guard, Only: p.Only, Cap: p.Cap,
-						For: p.For, Seed: uint64(seed) + 1, Log: p.Log,
+						For: p.For, Seed: p.First + uint64(seed), Log: p.Log,
 					}
 					if err := p.one(ctx, o); err != nil {
 						return err
@@ -87,8 +89,8 @@
 	if err != nil {
 		return unwritable(err)
 	}
-	defer f.Close()
-	if _, err := f.Write(append(data, '\n')); err != nil {
+	_, err = f.Write(append(data, '\n'))
+	if err := errors.Join(err, f.Close()); err != nil {
 		return unwritable(err)
 	}
 	return nil
--- a/stand/try/system.go
+++ b/stand/try/system.go
@@ -43,12 +43,16 @@
 // System is the whole system with its stand-ins in one process, over real
 // TCP. Its methods may be called concurrently.
 type System struct {
-	opts     Options
-	firm     firm.Firm
-	log      hclog.Logger
-	group    *errgroup.Group
-	ctx      context.Context
-	stop     context.CancelFunc
+	opts  Options
+	firm  firm.Firm
+	log   hclog.Logger
+	group *errgroup.Group
+	ctx   context.Context
+	stop  context.CancelFunc
+	// infra outlives the processes of the system: it ends the platform and
+	// the workers' servers.
+	infra    context.Context
+	stopAll  context.CancelFunc
 	judge    *judge.Judge
 	platform *platform.Platform
 	store    string // the platform's URL for workers
@@ -66,15 +70,15 @@
 // Start starts platform, entries, workers and agents.
 func Start(ctx context.Context, o Options, f firm.Firm) (*System, error) {
 	ctx, stop := context.WithCancel(ctx)
+	infra, stopAll := context.WithCancel(context.WithoutCancel(ctx))
 	g, ctx := errgroup.WithContext(ctx)
 	s := &System{
-		opts: o, firm: f, log: o.Log, group: g, ctx: ctx, stop: stop, judge: judge.New(), platform: platform.New(o.Seed),
+		opts: o, firm: f, log: o.Log, group: g, ctx: ctx, stop: stop, infra: infra, stopAll: stopAll, judge: judge.New(), platform: platform.New(o.Seed),
 		entries: make([]*part, entries), agents: make([]*part, f.Workers), workers: make([]*part, f.Workers),
 		current: make([]*worker.Worker, f.Workers), locals: make([]string, f.Workers), machine: make([]string, f.Workers),
 	}
 	if err := s.startAll(); err != nil {
-		stop()
-		_ = g.Wait()
+		_ = s.Stop()
 		return nil, err
 	}
 	return s, nil
@@ -86,7 +90,7 @@
 		return err
 	}
 	s.store = store.URL()
-	s.serve(s.ctx, store)
+	s.serve(store)
 	for i := range s.entries {
 		if err := s.StartEntry(i); err != nil {
 			return err
@@ -130,11 +134,11 @@
 	})
 }
 
-// serve runs a server until the context ends.
-func (s *System) serve(ctx context.Context, srv *server.Server) {
+// serve runs a server until all else has stopped.
+func (s *System) serve(srv *server.Server) {
 	s.group.Go(srv.Run)
 	s.group.Go(func() error {
-		<-ctx.Done()
+		<-s.infra.Done()
 		srv.Close()
 		return nil
 	})
@@ -147,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	s.serve(s.ctx, store)
+	s.serve(store)
 	p := &part{host: faulter.New()}
 	set := entry.Defaults()
 	set.ID = cowslipbend.EntryID(fmt.Sprintf("e%d", i+1))
@@ -198,10 +202,8 @@
 		return err
 	}
 	p := &part{url: srv.URL()}
-	s.run(p, func(ctx context.Context) error {
-		s.serve(ctx, srv)
-		return w.Run(ctx)
-	})
+	s.serve(srv)
+	s.run(p, w.Run)
 	p.kill = func() {
 		srv.Close()
 		p.stop()
@@ -269,17 +271,23 @@
 	return useful, finished
 }
 
-// Stop ends all parts and waits for them.
+// Stop ends all parts and waits for them: the processes of the system first,
+// then what they need to stop in good order.
 func (s *System) Stop() error {
 	s.mu.Lock()
-	for _, list := range [][]*part{s.entries, s.agents} {
-		for _, p := range list {
-			if p != nil {
-				p.host.Resume()
-			}
+	parts := append(append([]*part(nil), s.entries...), s.agents...)
+	s.mu.Unlock()
+	for _, p := range parts {
+		if p != nil {
+			p.host.Resume()
 		}
 	}
-	s.mu.Unlock()
 	s.stop()
+	for _, p := range parts {
+		if p != nil {
+			<-p.done
+		}
+	}
+	s.stopAll()
 	return s.group.Wait()
 }
