--- a/stand/processes.sh
+++ b/stand/processes.sh
@@ -49,8 +49,10 @@
     --listen "127.0.0.1:$base" --local "127.0.0.1:$((base + 1))" --worker "http://127.0.0.1:$((base + 2))" "${entries[@]}"
   agent_pid[i]=$!
 done
-"$dir/cowslip" publish --entry http://127.0.0.1:7001 "examples/$firm"
+"$dir/cowslip" --entry http://127.0.0.1:7001 publish "examples/$firm" >&2
 sleep 6
+echo "idle agents:" >&2
+"$dir/stand" idle --for 10s --pid "${agent_pid[1]}" --pid "${agent_pid[2]}" >&2
 "$dir/stand" load --firm "$firm" --for "${seconds}s" "${entries[@]}" &
 load=$!
 sleep 4
