--- a/stand/processes.sh
+++ b/stand/processes.sh
@@ -1,10 +1,12 @@
 #!/usr/bin/env bash
 # Starts the whole system as separate processes on loopback, calls it, kills an
 # entry with SIGKILL, stops and continues an agent, and ends with the result
-# line of "stand load". Usage: stand/processes.sh [fraser|easement] [SECONDS]
+# line of "stand load". Ports from BASE (7000) on must be free.
+# Usage: [BASE=PORT] stand/processes.sh [fraser|easement] [SECONDS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-firm=${1:-fraser} seconds=${2:-20}
+firm=${1:-fraser} seconds=${2:-20} base=${BASE:-7000}
+host=127.0.0.1
 pool=ledger domains=3
 if [ "$firm" = easement ]; then pool=easements domains=4; fi
 dir=$(mktemp -d)
@@ -31,29 +33,31 @@
   echo "$1 does not start" >&2
   exit 1
 }
-run platform "$dir/stand" platform --listen 127.0.0.1:7000
-ready http://127.0.0.1:7000
+store="http://$host:$base"
+run platform "$dir/stand" platform --listen "$host:$base"
+ready "$store"
 entries=()
 for i in 1 2 3; do
-  run "entry$i" "$dir/entry" --id "e$i" --domain "d$i" --listen "127.0.0.1:700$i"
+  run "entry$i" "$dir/entry" --id "e$i" --domain "d$i" --listen "$host:$((base + i))" --store "$store"
   entry_pid[i]=$!
-  entries+=(--entry "http://127.0.0.1:700$i")
-  ready "http://127.0.0.1:700$i"
+  entries+=(--entry "http://$host:$((base + i))")
+  ready "http://$host:$((base + i))"
 done
 for i in $(seq 11); do
-  base=$((7100 + 10 * i))
+  port=$((base + 100 + 10 * i))
   domain="d$(((i - 1) % domains + 1))"
   name=$(printf 'w%02d' "$i")
-  run "worker$i" "$dir/stand" worker --id "$name" --firm "$firm" --listen "127.0.0.1:$((base + 2))" --agent "http://127.0.0.1:$((base + 1))"
+  run "worker$i" "$dir/stand" worker --id "$name" --firm "$firm" --store "$store" \
+    --listen "$host:$((port + 2))" --agent "http://$host:$((port + 1))"
   run "agent$i" "$dir/agent" --id "$name" --pool "$pool" --domain "$domain" --rack "$domain-r1" \
-    --listen "127.0.0.1:$base" --local "127.0.0.1:$((base + 1))" --worker "http://127.0.0.1:$((base + 2))" "${entries[@]}"
+    --listen "$host:$port" --local "$host:$((port + 1))" --worker "http://$host:$((port + 2))" "${entries[@]}"
   agent_pid[i]=$!
 done
-"$dir/cowslip" --entry http://127.0.0.1:7001 publish "examples/$firm" >&2
+"$dir/cowslip" --entry "http://$host:$((base + 1))" publish "examples/$firm" >&2
 sleep 6
 echo "idle agents:" >&2
 "$dir/stand" idle --for 10s --pid "${agent_pid[1]}" --pid "${agent_pid[2]}" >&2
-"$dir/stand" load --firm "$firm" --for "${seconds}s" "${entries[@]}" &
+"$dir/stand" load --firm "$firm" --judge "$store" --for "${seconds}s" "${entries[@]}" &
 load=$!
 sleep 4
 echo "kill -KILL entry e2" >&2
