--- a/stand/load/batch.go
+++ b/stand/load/batch.go
@@ -205,6 +205,19 @@
 // maxCancel bounds one wave of cancellations.
 const maxCancel = 20
 
+// CancelAll cancels all accepted jobs, as far as they have not ended.
+func (b *Batch) CancelAll(ctx context.Context) {
+	var g errgroup.Group
+	g.SetLimit(maxSubmitting)
+	for _, a := range b.Accepted() {
+		g.Go(func() error {
+			_ = b.client().Cancel(ctx, b.firm.Pool, a.ID) // One that has ended is no matter.
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
 // Accepted returns the accepted jobs.
 func (b *Batch) Accepted() []Accepted {
 	b.mu.Lock()
--- a/stand/measure.go
+++ b/stand/measure.go
@@ -24,6 +24,7 @@
 			starter.Span("cap", 0, "cap of leases that witnesses extend; 0 for the usual one"),
 			&cli.IntFlag{Name: "seeds", Value: 3, Usage: "count of seeds, from --seed on; 0 only writes the page", Sources: starter.Env("seeds")},
 			seedFlag(),
+			&cli.BoolFlag{Name: "cancel", Usage: "cancel what is open after the load instead of waiting for it", Sources: starter.Env("cancel")},
 			starter.Span("for", 0, "how long callers call; 0 for each case's own length"),
 			starter.String("out", "docs", "directory of results.jsonl, RESULTS.md and plots"),
 			starter.String("log", "error", "level of the log"),
@@ -42,7 +43,7 @@
 	}
 	return measurer.Run(ctx, measurer.Plan{
 		Firms: c.StringSlice("firm"), Cases: c.StringSlice("case"), Policies: c.StringSlice("policy"), Guard: c.String("guard"),
-		Only: c.String("only"), Cap: cowslipbend.SpanOf(c.Duration("cap")), Seeds: c.Int("seeds"), First: c.Uint64("seed"),
+		Only: c.String("only"), Cap: cowslipbend.SpanOf(c.Duration("cap")), Seeds: c.Int("seeds"), First: c.Uint64("seed"), Cancel: c.Bool("cancel"),
 		For: cowslipbend.SpanOf(c.Duration("for")), Out: c.String("out"), Log: log,
 	})
 }
--- a/stand/measurer/run.go
+++ b/stand/measurer/run.go
@@ -30,8 +30,10 @@
 	Cap      cowslipbend.Span
 	// First is the first of so many seeds.
 	First uint64
-	Seeds int
-	For   cowslipbend.Span
+	// Cancel cancels what is open after the load instead of waiting for it.
+	Cancel bool
+	Seeds  int
+	For    cowslipbend.Span
 	// Out is the directory of documents.
 	Out string
 	Log hclog.Logger
@@ -57,7 +59,7 @@
 			for _, name := range p.Cases {
 				for _, policy := range p.Policies {
 					o := try.Options{
-						Firm: firm, Case: name, Policy: policy, Guard: p.Guard, Only: p.Only, Cap: p.Cap,
+						Firm: firm, Case: name, Policy: policy, Guard: p.Guard, Only: p.Only, Cap: p.Cap, Cancel: p.Cancel,
 						For: p.For, Seed: p.First + uint64(seed), Log: p.Log,
 					}
 					if err := p.one(ctx, o); err != nil {
--- a/stand/try.go
+++ b/stand/try.go
@@ -23,6 +23,7 @@
 			starter.String("routing", "", "routing policy of the entries; empty for the usual one"),
 			starter.String("guard", "", "guard of the agents: throttle, evict or off; empty for the usual one"),
 			starter.Span("cap", 0, "cap of leases that witnesses extend; 0 for the usual one"),
+			&cli.BoolFlag{Name: "cancel", Usage: "cancel what is open after the load instead of waiting for it", Sources: starter.Env("cancel")},
 			starter.String("only", "", "play services or batch alone"),
 			starter.Span("for", 0, "how long callers call; 0 for the case's own length"),
 			seedFlag(),
@@ -42,7 +43,7 @@
 	}
 	o := try.Options{
 		Firm: c.String("firm"), Case: c.String("case"), Policy: c.String("policy"), Routing: c.String("routing"),
-		Cap: cowslipbend.SpanOf(c.Duration("cap")), Only: c.String("only"), Guard: c.String("guard"),
+		Cap: cowslipbend.SpanOf(c.Duration("cap")), Only: c.String("only"), Guard: c.String("guard"), Cancel: c.Bool("cancel"),
 		For: cowslipbend.SpanOf(c.Duration("for")), Seed: c.Uint64("seed"), Log: log,
 	}
 	if isatty.IsTerminal(os.Stderr.Fd()) {
--- a/stand/try/try.go
+++ b/stand/try/try.go
@@ -37,6 +37,8 @@
 	Guard   string
 	// Cap is the cap of leases that witnesses extend; 0 keeps the usual one.
 	Cap cowslipbend.Span
+	// Cancel cancels what is open after the load instead of waiting for it.
+	Cancel bool
 	// Only plays services or batch alone.
 	Only string
 	// For is how long callers call; 0 is the case's own length.
@@ -146,6 +148,9 @@
 		return reporter.Result{}, err
 	}
 	after := s.usage()
+	if s.opts.Cancel {
+		batch.CancelAll(ctx)
+	}
 	jobs := p.settle(ctx)
 	return p.sum(jobs, before, after), nil
 }
