stand/judge: do not count an end that died with its worker as the first

Worker and agent keep nothing, so nobody else can know of such an end; it is no different from a death just before it, and running the task again is the only way to finish it. The check of package judge was wrong here, not the system. Change: a second end is excused only if the worker of the first died after it, and before the second, without an acknowledgement. An acknowledged end, and one on a worker that lives, count as before; a test for each. Ruled out: that the attempts ran at the same time (the overlap check is unchanged and counted none).

--- a/stand/judge/event.go
+++ b/stand/judge/event.go
@@ -20,6 +20,7 @@
 	Acked    Kind = "acked"    // the system acknowledged the end of an attempt
 	Finished Kind = "finished" // an attempt ran to the end of its task
 	Failed   Kind = "failed"   // an attempt ended in failure
+	Died     Kind = "died"     // a worker failed with all that it knew
 	Over     Kind = "over"     // a worker or endpoint went over its capacity
 )
 
--- a/stand/judge/verdict.go
+++ b/stand/judge/verdict.go
@@ -143,7 +143,7 @@
 	for _, events := range byTask {
 		list = append(list, overlaps(h.runs(events))...)
 		list = append(list, stale(events)...)
-		list = append(list, again(events)...)
+		list = append(list, h.again(events)...)
 	}
 	return list
 }
@@ -225,22 +225,44 @@
 	return names
 }
 
-// again lists the ends of a task after its first.
-func again(events []Event) []Fault {
+// again lists the ends of a task after its first. An end that died with its
+// worker before it was acknowledged does not count as the first: nobody else
+// could know of it, so that running the task again is the only way to finish
+// it.
+func (h History) again(events []Event) []Fault {
 	var list []Fault
-	finished := false
-	for _, e := range events {
+	var first *Event
+	for i, e := range events {
 		if e.Kind != Finished {
 			continue
 		}
-		if finished {
+		if first != nil && !h.forgotten(*first, e.At, events) {
 			list = append(list, Fault{"double", "it had finished before", e})
 		}
-		finished = true
+		first = &events[i]
 	}
 	return list
 }
 
+// forgotten reports whether the worker of an end died, before the moment,
+// without an acknowledgement of that end.
+func (h History) forgotten(end Event, before Moment, events []Event) bool {
+	for _, e := range events {
+		if e.Kind == Acked && e.Attempt == end.Attempt && e.Worker == end.Worker && e.At < before {
+			return false
+		}
+	}
+	if last, posts := h.Lives[end.Life]; posts {
+		return last < before
+	}
+	for _, e := range h.Events {
+		if e.Kind == Died && e.Worker == end.Worker && e.At > end.At && e.At < before {
+			return true
+		}
+	}
+	return false
+}
+
 // Outcome is what the system says about an accepted job.
 type Outcome struct {
 	Job   cowslipbend.JobID
--- a/stand/judge/verdict_test.go
+++ b/stand/judge/verdict_test.go
@@ -87,6 +87,19 @@
 	t.Run("finished again", func(t *testing.T) {
 		assertCounts(t, judge.Verdict{Double: 1}, attemptEvent(judge.Finished, "w1", 1, ""), attemptEvent(judge.Finished, "w1", 1, ""))
 	})
+	t.Run("finished again after its first end died unacknowledged with the worker is right", func(t *testing.T) {
+		assertCounts(t, judge.Verdict{},
+			attemptEvent(judge.Finished, "w1", 1, ""), judge.Event{Kind: judge.Died, Worker: "w1"}, attemptEvent(judge.Finished, "w2", 2, ""))
+	})
+	t.Run("finished again after an acknowledged end, although the worker died", func(t *testing.T) {
+		assertCounts(t, judge.Verdict{Double: 1},
+			attemptEvent(judge.Finished, "w1", 1, ""), attemptEvent(judge.Acked, "w1", 1, ""),
+			judge.Event{Kind: judge.Died, Worker: "w1"}, attemptEvent(judge.Finished, "w2", 2, ""))
+	})
+	t.Run("finished again after another worker died", func(t *testing.T) {
+		assertCounts(t, judge.Verdict{Double: 1},
+			attemptEvent(judge.Finished, "w1", 1, ""), judge.Event{Kind: judge.Died, Worker: "w3"}, attemptEvent(judge.Finished, "w2", 2, ""))
+	})
 	t.Run("resumed from a checkpoint that is not the last", func(t *testing.T) {
 		assertCounts(t, judge.Verdict{Double: 1},
 			began("w1", 1, ""), saved("w1", 1, "c1"), ended("w1", 1), attemptEvent(judge.Acked, "w1", 1, ""),
--- a/stand/worker/worker.go
+++ b/stand/worker/worker.go
@@ -102,6 +102,7 @@
 			w.end(t, cowslipbend.TaskStatus{Phase: cowslipbend.Queued, Reason: "worker stopped"})
 		}
 	}
+	w.judge.Note(judge.Event{Kind: judge.Died, Worker: w.opts.ID})
 	w.mu.Unlock()
 	_ = w.group.Wait()
 }
