--- a/stand/load/send.go
+++ b/stand/load/send.go
@@ -87,7 +87,7 @@
 	req.Header.Set(cowslipbend.HeaderTeam, string(c.opts.Firm.Callers))
 	req.Header.Set(worker.HeaderNonce, nonce)
 	if r.watch {
-		req.Header.Set(headerWatch, "1")
+		req.Header.Set(cowslipbend.HeaderWatch, "1")
 		req.Header.Set(cowslipbend.HeaderDeadline, watchDeadline)
 	}
 	if r.id != "" {
@@ -105,8 +105,5 @@
 	return resp, string(data), err
 }
 
-// headerWatch marks a watcher, which holds a connection and no slot.
-const headerWatch = "Cowslip-Watch"
-
 // watchDeadline is a watcher's deadline in milliseconds.
 const watchDeadline = "9000"
