--- a/stand/load/batch.go
+++ b/stand/load/batch.go
@@ -205,6 +205,19 @@
 // maxCancel bounds one wave of cancellations.
 const maxCancel = 20
 
+// CancelAll cancels all accepted jobs, as far as they have not ended.
+func (b *Batch) CancelAll(ctx context.Context) {
+	var g errgroup.Group
+	g.SetLimit(maxSubmitting)
+	for _, a := range b.Accepted() {
+		g.Go(func() error {
+			_ = b.client().Cancel(ctx, b.firm.Pool, a.ID) // One that has ended is no matter.
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
 // Accepted returns the accepted jobs.
 func (b *Batch) Accepted() []Accepted {
 	b.mu.Lock()
@@ -303,7 +316,7 @@
 func (b *Batch) job(name string, kind firm.Kind, truth factor) cowslipbend.Job {
 	cpu := cowslipbend.Millicores(min(float64(kind.Size.CPU)*truth.cpu, float64(b.firm.Size.CPU)/2))
 	mem := cowslipbend.Bytes(float64(kind.Size.Mem) * truth.mem)
-	total := float64(kind.Length) * truth.length * float64(kind.Size.CPU) / float64(cowslipbend.Core)
+	total := float64(kind.Length) * truth.length * float64(cpu) / float64(cowslipbend.Core)
 	w := worker.Work{CPU: cpu, Mem: mem, Total: cowslipbend.CPUTime(total)}
 	return cowslipbend.Job{
 		ID: cowslipbend.JobID(name), Pool: b.firm.Pool, Team: kind.Team, Class: kind.Class,
--- a/stand/try/try.go
+++ b/stand/try/try.go
@@ -22,6 +22,7 @@
 	"cowslipbend.dev/stand/judge"
 	"cowslipbend.dev/stand/load"
 	"cowslipbend.dev/stand/reporter"
+	"cowslipbend.dev/throttler"
 	"cowslipbend.dev/timer"
 )
 
@@ -36,6 +37,8 @@
 	Guard   string
 	// Cap is the cap of leases that witnesses extend; 0 keeps the usual one.
 	Cap cowslipbend.Span
+	// Cancel cancels what is open after the load instead of waiting for it.
+	Cancel bool
 	// Only plays services or batch alone.
 	Only string
 	// For is how long callers call; 0 is the case's own length.
@@ -69,6 +72,11 @@
 	default:
 		l.Add(cowslipbend.Invalid("--only", o.Only+" is unknown", "use services or batch, or leave it out"))
 	}
+	switch o.Guard {
+	case "", "throttle", "evict", "off":
+	default:
+		l.Add(cowslipbend.Invalid("--guard", o.Guard+" is unknown", "use throttle, evict or off"))
+	}
 	if o.For < 0 || (o.For > 0 && o.For < cowslipbend.Second) {
 		l.Add(cowslipbend.Invalid("--for", o.For.String()+" is too short", "give 1s or more"))
 	}
@@ -87,7 +95,11 @@
 	}
 }
 
-func (o *Options) agent(*agent.Settings) {}
+func (o *Options) agent(s *agent.Settings) {
+	if o.Guard != "" {
+		s.Guard = throttler.Mode(o.Guard)
+	}
+}
 
 // opTimeout bounds one call to an entry.
 const opTimeout = 5 * cowslipbend.Second
@@ -136,6 +148,9 @@
 		return reporter.Result{}, err
 	}
 	after := s.usage()
+	if s.opts.Cancel {
+		batch.CancelAll(ctx)
+	}
 	jobs := p.settle(ctx)
 	return p.sum(jobs, before, after), nil
 }
