--- a/entry/runner/metrics.go
+++ b/entry/runner/metrics.go
@@ -28,7 +28,7 @@
 			Name: "cowslip_requests_total", Help: "Requests of callers, by their outcome and the cause that counts for the objective.",
 		}, []string{"service", "outcome", "cause"}),
 		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "cowslip_request_seconds", Help: "Time from a request's arrival to the end of its answer.",
+			Name: "cowslip_request_seconds", Help: "Time from a request's arrival to the header of its answer, or to its refusal.",
 			Buckets: secondsBuckets,
 		}, []string{"service"}),
 	}
--- a/reporter/recorder_test.go
+++ b/reporter/recorder_test.go
@@ -148,7 +148,7 @@
 		r.Write(ctx)
 		clock.Advance(cowslipbend.Minute)
 	}
-	rows, err := table.Table.Scan(ctx, prefix, "", pageRows)
+	rows, err := table.Table.Scan(ctx, prefix, "", maxPages*pageRows)
 	assert.NilError(t, err)
 	t.Run("rows are bounded in number", func(t *testing.T) { assert.Assert(t, len(rows) <= keep+2, "%d", len(rows)) })
 	t.Run("old rows are coarse and keep their sums", func(t *testing.T) {
--- a/reporter/report.go
+++ b/reporter/report.go
@@ -84,8 +84,8 @@
 
 // maxPages and pageRows bound what is read for one report.
 const (
-	maxPages = 20
-	pageRows = 1000
+	maxPages = 100
+	pageRows = 100
 )
 
 // Report merges what this recorder has counted with the rows of all entries.
