director: tell silent processes from those that are up

Cause: a process that had been killed stayed 'up' in the status, and publish waited for it until its time was over. Change: a process not heard for 3 s is silent, one that said it leaves and is silent has left, and that is not listed after a minute; publish waits for the processes that are heard and names the silent ones. An entry known only by its row in the table is not listed.

--- a/cowslip/publish.go
+++ b/cowslip/publish.go
@@ -82,7 +82,7 @@
 			status = s
 			if len(w.behind(status)) == 0 {
 				w.show("")
-				fmt.Fprintf(w.out, "in force in all known processes (%d)\n", len(status.Processes))
+				w.done(status)
 				return nil
 			}
 			w.show(fmt.Sprintf("in force in %d of %d processes", len(status.Processes)-len(w.behind(status)), len(status.Processes)))
@@ -97,6 +97,22 @@
 		"look at cowslip status; they take it as soon as they are reached")
 }
 
+// done tells in how many processes the revision is in force, and names those
+// that are silent and take it once they are heard again.
+func (w *waiter) done(s director.Status) {
+	up := 0
+	for _, p := range s.Processes {
+		switch p.State {
+		case director.Up:
+			up++
+		case director.Silent:
+			fmt.Fprintf(w.out, "%s %s is silent\n", p.Role, p.ID)
+		case director.Leaving, director.Left:
+		}
+	}
+	fmt.Fprintf(w.out, "in force in all known processes (%d)\n", up)
+}
+
 // show writes a line of progress over the one before, on a terminal only.
 func (w *waiter) show(text string) {
 	if terminal(w.progress) {
@@ -104,15 +120,15 @@
 	}
 }
 
-// behind returns the processes that do not have the revision. An empty status
-// counts as one that is not known.
+// behind returns the processes that are heard and do not have the revision.
+// An empty status counts as one that is not known.
 func (w *waiter) behind(s director.Status) []string {
 	if len(s.Processes) == 0 {
 		return []string{"any process that is known"}
 	}
 	var names []string
 	for _, p := range s.Processes {
-		if p.Revision < w.rev && !p.Leaving {
+		if p.Revision < w.rev && p.State == director.Up {
 			names = append(names, p.Role+" "+p.ID)
 		}
 	}
--- a/cowslip/session_test.go
+++ b/cowslip/session_test.go
@@ -75,6 +75,7 @@
 	{regexp.MustCompile(`(?m)^(ledger +)e\d( +)\d+`), "${1}OWNER${2}EPOCH"},
 	{regexp.MustCompile(`Retry-After: \d+`), "Retry-After: SECONDS"},
 	{regexp.MustCompile(`"after":"[^"]*"`), `"after":"SPAN"`},
+	{regexp.MustCompile(`(?m)^(entry|agent) \w+ is silent\n`), ""}, // Who has been heard yet.
 	{regexp.MustCompile(`processes \(\d\)`), "processes (N)"},
 	{regexp.MustCompile(`seen from entry e\d`), "seen from entry ENTRY"},
 	{regexp.MustCompile(`"(at|cpums|epoch)": \d+`), `"$1": NUMBER`},
--- a/cowslip/status.go
+++ b/cowslip/status.go
@@ -58,7 +58,7 @@
 	fmt.Fprintf(w, "revision %d, seen from entry %s\n\n", o.Revision, o.Entry)
 	processes := newTable(w, "ROLE", "ID", "DOMAIN", "REVISION", "STATE")
 	for _, p := range o.Processes {
-		processes.row(p.Role, p.ID, string(p.Domain), fmt.Sprint(p.Revision), stateOf(p))
+		processes.row(p.Role, p.ID, string(p.Domain), fmt.Sprint(p.Revision), string(p.State))
 	}
 	pools := newTable(w, "POOL", "OWNER", "EPOCH")
 	for _, p := range o.Pools {
@@ -84,13 +84,6 @@
 	return nil
 }
 
-func stateOf(p director.Process) string {
-	if p.Leaving {
-		return "leaving"
-	}
-	return "up"
-}
-
 // condition puts the operator's wish before what the journal says.
 func condition(w director.Worker) string {
 	if w.Drained && w.Condition != journaler.Silent {
--- a/director/director.go
+++ b/director/director.go
@@ -50,6 +50,7 @@
 	store  publisher.Store
 	owners *scheduler.Owners
 	burn   Burn
+	clock  cowslipbend.Clock
 	client *http.Client
 	secret string
 	log    hclog.Logger
@@ -62,8 +63,8 @@
 }
 
 // New returns a director.
-func New(self tracker.Peer, t *tracker.Tracker, c *publisher.Holder, s publisher.Store, o *scheduler.Owners, b Burn, secret string, log hclog.Logger) *Director {
-	return &Director{self: self, track: t, config: c, store: s, owners: o, burn: b, client: dialer.Pooled(secret), secret: secret, log: log}
+func New(self tracker.Peer, t *tracker.Tracker, c *publisher.Holder, s publisher.Store, o *scheduler.Owners, b Burn, clock cowslipbend.Clock, secret string, log hclog.Logger) *Director {
+	return &Director{self: self, track: t, config: c, store: s, owners: o, burn: b, clock: clock, client: dialer.Pooled(secret), secret: secret, log: log}
 }
 
 // Close drops the idle connections.
@@ -112,13 +113,56 @@
 	return c.JSON(server.Status(first.Kind), Refusal{Error: *first, Faults: list})
 }
 
+// Condition is whether a process is heard.
+type Condition string
+
+// The conditions of a process.
+const (
+	// Up means that it was heard a moment ago.
+	Up Condition = "up"
+	// Silent means that it was not heard for a few seconds.
+	Silent Condition = "silent"
+	// Leaving means that it is shutting down.
+	Leaving Condition = "leaving"
+	// Left means that it shut down and is silent since.
+	Left Condition = "left"
+)
+
 // Process is one process in a status.
 type Process struct {
 	Role     string               `json:"role"`
 	ID       string               `json:"id"`
 	Domain   cowslipbend.Domain   `json:"domain"`
 	Revision cowslipbend.Revision `json:"revision"`
-	Leaving  bool                 `json:"leaving,omitempty"`
+	State    Condition            `json:"state"`
+}
+
+// Times of a status.
+const (
+	silence = 3 * cowslipbend.Second
+	// forget is the silence after which a process that left is not listed.
+	forget = cowslipbend.Minute
+)
+
+// condition tells how a process is that was last heard at the moment.
+func (d *Director) condition(heard cowslipbend.Time, leaving bool) Condition {
+	quiet := d.clock.Now().Sub(heard) > silence
+	switch {
+	case leaving && quiet:
+		return Left
+	case leaving:
+		return Leaving
+	case quiet:
+		return Silent
+	}
+	return Up
+}
+
+// gone reports whether a process is not listed: it left long ago, or is known
+// only from others, as an entry is whose row outlived it. Such a one was heard
+// at 0.
+func (d *Director) gone(heard cowslipbend.Time, leaving bool) bool {
+	return heard == 0 || leaving && d.clock.Now().Sub(heard) > forget
 }
 
 // Pool is one pool in a status.
@@ -139,12 +183,16 @@
 func (d *Director) status(c echo.Context) error {
 	rev, set := d.config.Set()
 	s := Status{Entry: d.self.ID, Revision: rev}
-	s.Processes = append(s.Processes, Process{Role: "entry", ID: string(d.self.ID), Domain: d.self.Domain, Revision: rev})
+	s.Processes = append(s.Processes, Process{Role: "entry", ID: string(d.self.ID), Domain: d.self.Domain, Revision: rev, State: Up})
 	for _, p := range d.track.Peers() {
-		s.Processes = append(s.Processes, Process{Role: "entry", ID: string(p.ID), Domain: p.Domain, Revision: p.Revision, Leaving: p.Leaving})
+		if !d.gone(p.Seen, p.Leaving) {
+			s.Processes = append(s.Processes, Process{Role: "entry", ID: string(p.ID), Domain: p.Domain, Revision: p.Revision, State: d.condition(p.Seen, p.Leaving)})
+		}
 	}
 	for _, a := range d.track.Agents() {
-		s.Processes = append(s.Processes, Process{Role: "agent", ID: string(a.Worker), Domain: a.Domain, Revision: a.Revision, Leaving: a.Leaving})
+		if !d.gone(a.Seen, a.Leaving) {
+			s.Processes = append(s.Processes, Process{Role: "agent", ID: string(a.Worker), Domain: a.Domain, Revision: a.Revision, State: d.condition(a.Seen, a.Leaving)})
+		}
 	}
 	for _, p := range set.Pools {
 		head := d.owners.Head(p.Name)
--- a/entry/runner/run.go
+++ b/entry/runner/run.go
@@ -127,7 +127,7 @@
 	terms := leaser.Defaults()
 	terms.Length, terms.Cap = e.settings.Lease, e.settings.Cap
 	e.owners = scheduler.NewOwners(self, store, e, &sender{entry: e}, e.config, terms, e.clock, e.log)
-	e.director = director.New(e.peer(), e.track, e.config, e.configs, e.owners, e.burn, e.settings.Secret, e.log)
+	e.director = director.New(e.peer(), e.track, e.config, e.configs, e.owners, e.burn, e.clock, e.settings.Secret, e.log)
 }
 
 func (e *Entry) peer() tracker.Peer {
