--- a/cowslip/status.go
+++ b/cowslip/status.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -68,7 +70,7 @@
 	for _, k := range o.Workers {
 		workers.row(string(k.ID), string(k.Pool), string(k.Rack), condition(k), fmt.Sprint(k.Tasks),
 			fmt.Sprintf("%s/%s", cores(k.Held.CPU), cores(k.Size.CPU)),
-			fmt.Sprintf("%s/%s", bytesText(k.Held.Mem), bytesText(k.Size.Mem)))
+			fmt.Sprintf("%s/%s", gigabytes(k.Held.Mem), gigabytes(k.Size.Mem)))
 	}
 	for i, t := range []*table{processes, pools, workers} {
 		if i > 0 {
@@ -96,6 +98,13 @@
 	return fmt.Sprint(float64(n) / float64(cowslipbend.Core))
 }
 
+// gigabytes returns an amount of memory to a tenth, as learned sizes are not
+// round.
+func gigabytes(n cowslipbend.Bytes) string {
+	text := strconv.FormatFloat(float64(n)/float64(cowslipbend.GB), 'f', 1, 64)
+	return strings.TrimSuffix(text, ".0") + "G"
+}
+
 func orDash(text string) string {
 	if text == "" {
 		return "-"
