scheduler: let tasks wait in a pool whose workers are not known yet

Cause: of the tasks of a pool in which no worker had joined for 30 s, each was parked as one that no worker can hold beside its services, for good. Change: a pool without workers parks nothing, and a heartbeat without a size keeps the one that is known.

--- a/scheduler/assign.go
+++ b/scheduler/assign.go
@@ -176,8 +176,11 @@
 	if n := distinct(t.Failed); n > 0 && n >= min(a.opts.Park, len(a.index.hosts)) {
 		return fmt.Sprintf("failed on %d workers", n)
 	}
+	if len(a.index.hosts) == 0 {
+		return "" // Nothing is known yet of what the pool can hold.
+	}
 	waited := a.wall.Sub(t.Since)
-	if waited > a.opts.Unfit && len(a.index.hosts) > 0 && !a.holdsEver(job.Size) {
+	if waited > a.opts.Unfit && !a.holdsEver(job.Size) {
 		return "no worker of the pool can hold it"
 	}
 	if waited > a.opts.Beside && job.Batch() && !a.holdsBeside(size) {
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -272,8 +272,18 @@
 	}
 	s.at, s.leaving, s.heard = now, b.Leaving, true
 	s.lapse = max(s.lapse, b.Lapse)
+	w, known := e.state.Workers[b.Worker.ID]
+	if b.Worker.Size == (cowslipbend.Resources{}) {
+		// The agent has started and has not read its worker yet. A size of
+		// nothing must not become the worker's, or tasks would be parked that
+		// only wait for it.
+		if !known {
+			return nil
+		}
+		b.Worker.Size = w.Spec.Size
+	}
 	var recs []cowslipbend.Record
-	if w, known := e.state.Workers[b.Worker.ID]; !known || w.Condition == journaler.Silent || w.Spec != b.Worker {
+	if !known || w.Condition == journaler.Silent || w.Spec != b.Worker {
 		spec := b.Worker
 		recs = append(recs, cowslipbend.Record{Kind: cowslipbend.RecJoined, Worker: &spec, At: wall})
 	}
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -388,3 +388,30 @@
 	}
 	assert.Equal(t, f.kinds[cowslipbend.RecSubmitted], 1)
 }
+
+// TestWithoutWorkers asserts that tasks wait for workers instead of being
+// parked as if no worker could hold them.
+func TestWithoutWorkers(t *testing.T) {
+	t.Run("none has joined yet", func(t *testing.T) {
+		f := smallFleet(t, 1)
+		late := f.workers
+		f = newFleet(t, 0, workerSize(), testPolicy(t, "guarded"), Defaults())
+		f.ends = finishAfter(second)
+		f.submit(job("waits", 1, cowslipbend.Core))
+		f.steps(120 * second)
+		assert.Equal(t, f.phases("waits")[cowslipbend.Queued], 1)
+		f.workers = late
+		f.steps(5 * second)
+		assert.Equal(t, f.phases("waits")[cowslipbend.Finished], 1)
+	})
+	t.Run("agents that have not read their worker do not make it empty", func(t *testing.T) {
+		f := smallFleet(t, 2)
+		blind := Beat{Worker: f.workers[0].spec}
+		blind.Worker.Size = cowslipbend.Resources{}
+		f.apply(f.engine.Beat(blind, f.now, f.now))
+		assert.Equal(t, f.engine.state.Workers[blind.Worker.ID].Spec.Size, workerSize())
+		blind.Worker.ID = "unknown"
+		f.apply(f.engine.Beat(blind, f.now, f.now))
+		assert.Assert(t, f.engine.state.Workers["unknown"] == nil)
+	})
+}
