throttler: release beside idle services, act earlier where the tail weighs more

Cause: a guard believed no tail of fewer than 20 answers and then did nothing, so batch stayed at its floor for good once callers had left; trials of deadline ended with 1 and 10 tasks open after a minute. TestIdleService fails without the change.

Change: a service that hardly answers counts as well within its objective. The bounds are 70 and 55% for pools whose weights put the tail at twice batch or more, as fraser's do.

--- a/agent/runner/guard.go
+++ b/agent/runner/guard.go
@@ -16,9 +16,15 @@
 func (a *Agent) protect(ctx context.Context) {
 	_, set := a.config.Set()
 	for i := range set.Pools {
-		if set.Pools[i].Name == a.settings.Pool && unguarded[set.Pools[i].Policy] {
+		if set.Pools[i].Name != a.settings.Pool {
+			continue
+		}
+		if unguarded[set.Pools[i].Policy] {
 			return
 		}
+		terms := throttler.Defaults()
+		terms.Mode = a.settings.Guard
+		a.guard.Set(terms.Weigh(set.Pools[i].Weights))
 	}
 	goals := map[cowslipbend.ServiceID]cowslipbend.Span{}
 	for i := range set.Services {
--- a/throttler/guard.go
+++ b/throttler/guard.go
@@ -62,6 +62,19 @@
 	}
 }
 
+// tailFirst is how much more the tail must weigh than batch for a guard to act
+// early.
+const tailFirst = 2
+
+// Weigh returns the terms for a pool: earlier bounds if its weights put the
+// tail of services well before batch.
+func (o Options) Weigh(w cowslipbend.Weights) Options {
+	if w.Tail > 0 && w.Tail >= tailFirst*w.Batch {
+		o.High, o.Low = 70, 55
+	}
+	return o
+}
+
 // Check returns KindInvalid for an unknown mode.
 func (o *Options) Check(path string) error {
 	switch o.Mode {
@@ -122,6 +135,9 @@
 	}
 }
 
+// Set takes other terms from the next look on.
+func (g *Guard) Set(opts Options) { g.opts = opts }
+
 // Look takes a status of the worker and returns what to do. Goals are the
 // longest tails that the services promise.
 func (g *Guard) Look(status cowslipbend.MachineStatus, goals map[cowslipbend.ServiceID]cowslipbend.Span, now cowslipbend.Time) []Action {
@@ -159,12 +175,13 @@
 }
 
 // pressure returns the highest tail in percent of its objective, and whether
-// it was measured since the last action had settled.
+// it was measured since the last action had settled. A service that answers
+// hardly anybody is not late, so that batch beside it is released.
 func (g *Guard) pressure(v *view) (fresh bool, percent int) {
 	newest := g.counted
 	for _, s := range v.services {
 		goal := v.goals[s.Service]
-		if goal <= 0 || s.Served < g.opts.Served || s.Measured <= g.counted {
+		if goal <= 0 || s.Measured <= g.counted {
 			continue
 		}
 		if g.started && s.Measured < g.acted.Add(g.opts.Settle) {
@@ -172,6 +189,9 @@
 		}
 		fresh = true
 		newest = max(newest, s.Measured)
+		if s.Served < g.opts.Served {
+			continue
+		}
 		percent = max(percent, int(s.Tail*whole/(int64(goal)*microsPerMs)))
 	}
 	g.counted = newest
--- a/throttler/guard_test.go
+++ b/throttler/guard_test.go
@@ -217,6 +217,17 @@
 	assert.Equal(t, b.percents()["a/0"], whole)
 }
 
+// TestIdleService asserts that throttled batch is released when callers stay
+// away.
+func TestIdleService(t *testing.T) {
+	b := newBench(Throttle, task("a/0", "netting", 8*cowslipbend.Core))
+	b.tail, b.noise = 38, 0.1
+	b.run(8 * cowslipbend.Second)
+	b.served = 0
+	b.run(cowslipbend.Minute)
+	assert.Equal(t, b.percents()["a/0"], whole)
+}
+
 // TestEvictionRate asserts that evictions of one worker keep their distance
 // and that a job is not hit twice in a row.
 func TestEvictionRate(t *testing.T) {
@@ -286,6 +297,24 @@
 	})
 }
 
+// TestWeights asserts that a guard acts earlier where the tail weighs more.
+func TestWeights(t *testing.T) {
+	for _, c := range []struct {
+		weights cowslipbend.Weights
+		want    int
+	}{
+		{cowslipbend.Weights{}, whole},
+		{cowslipbend.Weights{Tail: 1, Batch: 4}, whole},
+		{cowslipbend.Weights{Tail: 4, Batch: 1}, 50},
+	} {
+		b := newBench(Throttle, task("a/0", "netting", 8*cowslipbend.Core))
+		b.guard.Set(Defaults().Weigh(c.weights))
+		b.tail = 32
+		b.look()
+		assert.Equal(t, b.percents()["a/0"], c.want)
+	}
+}
+
 func TestModes(t *testing.T) {
 	t.Run("off", func(t *testing.T) {
 		b := newBench(Off, task("a/0", "netting", 8*cowslipbend.Core))
