stand/load: let the balancer pass over an entry whose connection broke

Change: an entry whose connection broke is out of turn until the next look, as with usual balancers.

--- a/stand/load/balancer.go
+++ b/stand/load/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,17 @@
 	return list[b.turn.Add(1)%uint64(len(list))]
 }
 
+// Failed takes an entry whose connection broke out of turn until the next
+// look, unless it is the last one.
+func (b *Balancer) Failed(url string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rest := slices.DeleteFunc(slices.Clone(b.ready), func(u string) bool { return u == url })
+	if len(rest) > 0 {
+		b.ready = rest
+	}
+}
+
 // Run looks at the entries until the context ends.
 func (b *Balancer) Run(ctx context.Context) error {
 	defer b.client.CloseIdleConnections()
--- a/stand/load/send.go
+++ b/stand/load/send.go
@@ -79,7 +79,8 @@
 func (c *Callers) exchange(r request, nonce string) (*http.Response, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	url := c.balancer.Next() + "/call/" + string(c.opts.Firm.Service) + r.path
+	entry := c.balancer.Next()
+	url := entry + "/call/" + string(c.opts.Firm.Service) + r.path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("question"))
 	if err != nil {
 		return nil, "", err
@@ -98,6 +99,7 @@
 	req.GetBody = nil
 	resp, err := c.client.Do(req)
 	if err != nil {
+		c.balancer.Failed(entry)
 		return nil, "", err
 	}
 	defer resp.Body.Close()
