forwarder: flush the head of a watch, so that its trailer is sent

Cause: when an endpoint ended a watch before anything was flushed, the HTTP/2 server gave the answer a length and left the declared trailer out, so a caller could not tell 'whole' from 'leaving'. TestWatch failed in most of the runs on a loaded machine (12 side by side, 2 processors each). Ruled out: the entry's copy of the trailer; the answer came without one.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -64,6 +64,10 @@
 		w.Header().Set("Trailer", cowslipbend.HeaderEnd)
 	}
 	f.head(w, resp, a)
+	if trailer {
+		// An answer that ends at once would else get a length and no trailer.
+		_ = http.NewResponseController(w).Flush()
+	}
 	kept := &capture{limit: int(f.limit), skip: !a.Once}
 	readErr, writeErr := flow(w, resp.Body, kept)
 	whole := readErr == nil && kept.whole()
