tasker: report the end of an attempt that is stopped before it was taken

Cause: a start that came before the agent had a lease is not refused for good, as the owner sends it again. If the job was cancelled in between, the owner sent stops instead, without end: the worker knew no such attempt, so nothing was ever reported and the reservation never came back. Ruled out: lost orders; each stop was delivered and answered. Change: stopping or evicting an attempt that was never taken makes it a final refusal and reports it. The new test fails without the change.

--- a/tasker/tasker.go
+++ b/tasker/tasker.go
@@ -243,17 +243,37 @@
 	return sum
 }
 
-// Evict checkpoints and stops an attempt, after Order was asked. An unknown attempt is no error, as
-// its report is on the way.
+// Evict checkpoints and stops an attempt, after Order was asked. An attempt
+// that has ended is no error, as its report is on the way.
 func (t *Tasker) Evict(ctx context.Context, task cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
+	if t.forestall(task, attempt) {
+		return nil
+	}
 	return t.machine.Evict(ctx, task, attempt)
 }
 
 // Stop ends an attempt without a checkpoint, after Order was asked.
 func (t *Tasker) Stop(ctx context.Context, task cowslipbend.TaskID, attempt cowslipbend.Attempt) error {
+	if t.forestall(task, attempt) {
+		return nil
+	}
 	return t.machine.Stop(ctx, task, attempt)
 }
 
+// forestall reports whether the attempt was never taken here. It then refuses
+// it for good and reports its end, as the owner gives its reservation back
+// only on a report.
+func (t *Tasker) forestall(task cowslipbend.TaskID, attempt cowslipbend.Attempt) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.accepted(task, attempt) || attempt <= t.newest[task].attempt {
+		return false
+	}
+	t.newest[task] = mark{attempt, t.clock.Now()}
+	t.report(cowslipbend.TaskStatus{Task: task, Attempt: attempt, Phase: cowslipbend.Queued, Reason: "stopped before its start"})
+	return true
+}
+
 // Poll reads the worker's status, turns ended attempts into reports and moves
 // the lease ends of what runs.
 func (t *Tasker) Poll(ctx context.Context) error {
--- a/tasker/tasker_test.go
+++ b/tasker/tasker_test.go
@@ -266,3 +266,28 @@
 	assertKind(t, h.Order(1, given), cowslipbend.KindStale)
 	assert.NilError(t, h.Order(1, h.clock.Now()))
 }
+
+// TestStopBeforeStart asserts that an attempt that was ordered but never taken
+// is reported as ended when it is stopped or evicted, and never starts later.
+func TestStopBeforeStart(t *testing.T) {
+	for name, stop := range map[string]func(host, cowslipbend.TaskID) error{
+		"stop":  func(h host, id cowslipbend.TaskID) error { return h.Stop(t.Context(), id, 1) },
+		"evict": func(h host, id cowslipbend.TaskID) error { return h.Evict(t.Context(), id, 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t)
+			assert.NilError(t, stop(h, "a/0"))
+			assert.Equal(t, len(reports(h)), 1)
+			r := reports(h)[0]
+			assert.Equal(t, r.Attempt, cowslipbend.Attempt(1))
+			assert.Equal(t, r.Phase, cowslipbend.Queued)
+			late := start("a/0", 1)
+			assert.NilError(t, h.Start(t.Context(), late, h.clock.Now()), "a repeat of what is reported")
+			h.Acknowledge(t.Context(), "a/0", 1)
+			assertKind(t, h.Start(t.Context(), late, h.clock.Now()), cowslipbend.KindStale)
+			assert.Equal(t, h.m.starts, 0)
+			assert.NilError(t, stop(h, "a/0"), "a repeated order")
+			assert.Equal(t, len(reports(h)), 0)
+		})
+	}
+}
