scheduler: end running attempts that a replaced host took along

Cause: a host that is replaced within the suspicion and its lease is never lost, and neither its worker nor its agent remembers what ran there.

Ruled out: late reports (the restarted agent has none), the guard (no throttle was logged for these tasks). Change: a running attempt that the heartbeats have named neither as running nor as ended for two seconds counts as evicted without a new checkpoint. It was named before, so it has ended. The test rig's agents now tell no size before they have asked their worker, as the agents do.

--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -11,6 +11,9 @@
 type Options struct {
 	// Suspect is the silence after which nothing more is placed on a worker.
 	Suspect cowslipbend.Span
+	// Vanish is how long heartbeats must not name a running attempt until it
+	// counts as ended.
+	Vanish cowslipbend.Span
 	// Resend is the time after which an unanswered order is sent again.
 	Resend cowslipbend.Span
 	// Park is the count of distinct workers on which a task may fail.
@@ -48,7 +51,7 @@
 // Defaults returns the options of a usual pool.
 func Defaults() Options {
 	return Options{
-		Suspect: 3 * cowslipbend.Second, Resend: cowslipbend.Second, Park: 3, Starts: 200,
+		Suspect: 3 * cowslipbend.Second, Vanish: 2 * cowslipbend.Second, Resend: cowslipbend.Second, Park: 3, Starts: 200,
 		Retry: cowslipbend.Second, MaxRetry: cowslipbend.Minute, Unfit: 10 * cowslipbend.Second, Beside: 30 * cowslipbend.Second,
 		Aged: 10 * cowslipbend.Second, Spare: 10 * cowslipbend.Minute,
 		Faults: 3, Probe: 5 * cowslipbend.Second,
@@ -68,7 +71,9 @@
 	strays []Ref
 	// sent is when an order about an attempt was last sent.
 	sent map[Ref]cowslipbend.Time
-	past history
+	// missing is since when heartbeats have not named a running attempt.
+	missing map[Ref]cowslipbend.Time
+	past    history
 }
 
 func newSeen(at, lapse cowslipbend.Time) *seen {
@@ -298,7 +303,7 @@
 			recs = append(recs, ended(r, wall))
 		}
 	}
-	return recs
+	return append(recs, e.vanished(s, &b, now, wall)...)
 }
 
 // current returns the task if the status is of its current attempt there.
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -415,3 +415,26 @@
 		assert.Assert(t, f.engine.state.Workers["unknown"] == nil)
 	})
 }
+
+// TestVanished asserts that attempts which a replaced host took along run
+// again, although its worker was never silent for long, and that others stay.
+func TestVanished(t *testing.T) {
+	f := smallFleet(t, 2)
+	f.ends = finishAfter(20 * second)
+	f.submit(job("long", 4, 4*cowslipbend.Core))
+	f.steps(2 * second)
+	assert.Equal(t, f.phases("long")[cowslipbend.Running], 4)
+	lost := len(f.workers[0].tasks)
+	f.workers[0].tasks = map[cowslipbend.TaskID]*cowslipbend.TaskStatus{}
+	f.steps(4 * second)
+	again := 0
+	for _, task := range f.engine.index.tasks(f.engine.state, "long") {
+		if task.Attempt == 2 {
+			again++
+		}
+	}
+	assert.Assert(t, lost > 0)
+	assert.Equal(t, again, lost)
+	f.steps(25 * second)
+	assert.Equal(t, f.phases("long")[cowslipbend.Finished], 4)
+}
--- a/scheduler/history_test.go
+++ b/scheduler/history_test.go
@@ -359,7 +359,9 @@
 func (r *rig) beat(h *rigHost, o *Owner, lost bool) {
 	sent := r.clock.Now()
 	view := h.View()
-	lease, acks := o.Beat(Beat{Worker: h.spec, Reports: view.Reports, Running: view.Usage, Sent: sent})
+	spec := h.spec
+	spec.Size = view.Size // Nothing until the agent has asked its worker.
+	lease, acks := o.Beat(Beat{Worker: spec, Reports: view.Reports, Running: view.Usage, Sent: sent})
 	if lost {
 		return
 	}
--- a/scheduler/watch_test.go
+++ b/scheduler/watch_test.go
@@ -31,6 +31,7 @@
 	r := newRig(t, 1)
 	r.take(0)
 	o := r.owners[0]
+	r.check(r.hosts[0].Poll(t.Context()))
 	r.beat(r.hosts[0], o, false)
 	r.round(o)
 	assert.Equal(t, len(o.journal.Head().Witnesses), 1)
