--- a/cowslip/session_test.go
+++ b/cowslip/session_test.go
@@ -78,7 +78,7 @@
 	{regexp.MustCompile(`(?m)^(entry|agent) \w+ is silent\n`), ""}, // Who has been heard yet.
 	{regexp.MustCompile(`processes \(\d\)`), "processes (N)"},
 	{regexp.MustCompile(`seen from entry e\d`), "seen from entry ENTRY"},
-	{regexp.MustCompile(`"(at|cpums|epoch)": \d+`), `"$1": NUMBER`},
+	{regexp.MustCompile(`"(at|cpu|epoch)": \d+`), `"$1": NUMBER`},
 	{regexp.MustCompile(`"(owner|entry)": "e\d"`), `"$1": "ENTRY"`},
 }
 
--- a/director/jobs.go
+++ b/director/jobs.go
@@ -18,7 +18,7 @@
 	cowslipbend.Job
 	Phases    map[cowslipbend.Phase]int `json:"phases"`
 	Evictions int                       `json:"evictions"`
-	CPU       cowslipbend.CPUTime       `json:"cpums"`
+	CPU       cowslipbend.CPUTime       `json:"cpu"`
 	Reasons   []string                  `json:"reasons,omitempty"`
 }
 
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -1,14 +1,19 @@
 package control_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/internal/control"
+	"cowslipbend.dev/internal/dialer"
+	"cowslipbend.dev/internal/server"
 )
 
 // heartbeat returns an owner's heartbeat of an agent with one endpoint and so
@@ -46,3 +51,45 @@
 		})
 	}
 }
+
+// taker answers every heartbeat.
+type taker struct{ control.Entry }
+
+// Beat answers as an entry does that owns nothing.
+func (taker) Beat(context.Context, *control.BeatRequest) (*control.BeatReply, error) {
+	return &control.BeatReply{Entry: "e01", Life: "L", Owner: "http://10.3.14.1:7001", Epoch: 17}, nil
+}
+
+// BenchmarkCall measures a heartbeat as a call over loopback, both ends
+// together, one after the other. The processor time that it reports is that
+// of both ends.
+func BenchmarkCall(b *testing.B) {
+	for _, tasks := range []int{0, 15} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			srv, err := server.Listen("127.0.0.1:0", control.NewEntryServer(taker{}))
+			assert.NilError(b, err)
+			var g errgroup.Group
+			g.Go(srv.Run)
+			client := dialer.Pooled("")
+			entry := control.NewEntryProtobufClient(srv.URL(), client)
+			r := heartbeat(tasks)
+			before := processorTime(b)
+			for b.Loop() {
+				_, err := entry.Beat(b.Context(), r)
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
+			client.CloseIdleConnections()
+			srv.Close()
+			assert.NilError(b, g.Wait())
+		})
+	}
+}
+
+// processorTime returns the nanoseconds that this process has used.
+func processorTime(b *testing.B) int64 {
+	b.Helper()
+	var u unix.Rusage
+	assert.NilError(b, unix.Getrusage(unix.RUSAGE_SELF, &u))
+	return u.Utime.Nano() + u.Stime.Nano()
+}
