journaler, cowslip: one test of a cancelled task, one way to a pool's client

The mark of a task whose job was cancelled stood in two packages, as a constant and as bare strings, and each reader compared it; Task.Cancelling says it now. The commands cancel, drain and undrain found client and pool with the same lines, which are poolClient now.

--- a/cowslip/cancel.go
+++ b/cowslip/cancel.go
@@ -23,11 +23,7 @@
 	if !c.Args().Present() {
 		return cowslipbend.Invalid(c.FullName(), "needs the id of a job", "take it from cowslip jobs")
 	}
-	op, err := client(c)
-	if err != nil {
-		return err
-	}
-	p, err := pool(ctx, c, op)
+	op, p, err := poolClient(ctx, c)
 	if err != nil {
 		return err
 	}
--- a/cowslip/drain.go
+++ b/cowslip/drain.go
@@ -28,11 +28,7 @@
 	if err != nil {
 		return err
 	}
-	op, err := client(c)
-	if err != nil {
-		return err
-	}
-	p, err := pool(ctx, c, op)
+	op, p, err := poolClient(ctx, c)
 	if err != nil {
 		return err
 	}
--- a/cowslip/pool.go
+++ b/cowslip/pool.go
@@ -44,3 +44,13 @@
 	}
 	return names[0], nil
 }
+
+// poolClient returns the client of a command about a pool, and the pool.
+func poolClient(ctx context.Context, c *cli.Command) (*operator.Client, cowslipbend.PoolID, error) {
+	op, err := client(c)
+	if err != nil {
+		return nil, "", err
+	}
+	name, err := pool(ctx, c, op)
+	return op, name, err
+}
--- a/journaler/state.go
+++ b/journaler/state.go
@@ -25,6 +25,13 @@
 	Since     cowslipbend.Time `json:"since,omitempty"`
 }
 
+// reasonCancelled is the reason of a task whose job was cancelled.
+const reasonCancelled = "cancelled"
+
+// Cancelling reports whether the task's job was cancelled. A task that is
+// still on a worker then ends with that worker's report.
+func (t *Task) Cancelling() bool { return t.Reason == reasonCancelled }
+
 // Condition is what the journal says of a worker.
 type Condition string
 
@@ -124,7 +131,7 @@
 		if t.Phase.Ended() {
 			continue
 		}
-		t.Reason = "cancelled"
+		t.Reason = reasonCancelled
 		if t.Phase == cowslipbend.Queued {
 			t.Phase, t.Since = cowslipbend.Cancelled, at
 		}
@@ -180,7 +187,7 @@
 func (t *Task) release(at cowslipbend.Time) {
 	t.Worker, t.Size, t.Since = "", cowslipbend.Resources{}, at
 	t.Phase = cowslipbend.Queued
-	if t.Reason == "cancelled" {
+	if t.Cancelling() {
 		t.Phase = cowslipbend.Cancelled
 	}
 }
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -246,16 +246,13 @@
 // open reports whether the job has a task that a cancellation would change.
 func (e *Engine) open(id cowslipbend.JobID) bool {
 	for _, t := range e.index.tasks(e.state, id) {
-		if !t.Phase.Ended() && t.Reason != reasonCancelled {
+		if !t.Phase.Ended() && !t.Cancelling() {
 			return true
 		}
 	}
 	return false
 }
 
-// reasonCancelled is the reason of a task whose job was cancelled.
-const reasonCancelled = "cancelled"
-
 // Beat is what a heartbeat tells the owner.
 type Beat struct {
 	Worker  cowslipbend.WorkerSpec
--- a/scheduler/evict.go
+++ b/scheduler/evict.go
@@ -166,7 +166,7 @@
 	job := a.state.Jobs[t.Job]
 	_, chosen := a.evicting.intents[t.ID]
 	return !chosen && job.Batch() && job.Urgency != cowslipbend.Urgent && t.Phase == cowslipbend.Running &&
-		t.Reason != reasonCancelled && t.Evictions < a.opts.Often && a.evicting.allowed(t.Job, a.now)
+		!t.Cancelling() && t.Evictions < a.opts.Often && a.evicting.allowed(t.Job, a.now)
 }
 
 // Costs of a victim, in evictions.
@@ -216,7 +216,7 @@
 			under++
 			continue
 		}
-		if e.state.Jobs[t.Job].Batch() && t.Phase == cowslipbend.Running && t.Reason != reasonCancelled {
+		if e.state.Jobs[t.Job].Batch() && t.Phase == cowslipbend.Running && !t.Cancelling() {
 			list = append(list, t)
 		}
 	}
--- a/scheduler/index.go
+++ b/scheduler/index.go
@@ -150,7 +150,7 @@
 		x.on[t.Worker] = map[cowslipbend.TaskID]*journaler.Task{}
 	}
 	x.on[t.Worker][t.ID] = t
-	if t.Phase == cowslipbend.Assigned || t.Reason == reasonCancelled {
+	if t.Phase == cowslipbend.Assigned || t.Cancelling() {
 		x.pending[t.ID] = t
 	}
 }
@@ -200,7 +200,7 @@
 }
 
 // living reports whether the replica counts for its service.
-func living(t *journaler.Task) bool { return !t.Phase.Ended() && t.Reason != reasonCancelled }
+func living(t *journaler.Task) bool { return !t.Phase.Ended() && !t.Cancelling() }
 
 // number keeps the highest number of a replica that was ever used.
 func (x *index) number(job *cowslipbend.Job) {
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		o := at(t.Worker)
-		if t.Reason == reasonCancelled {
+		if t.Cancelling() {
 			o.Stops = append(o.Stops, Ref{t.ID, t.Attempt})
 			continue
 		}
