--- /dev/null
+++ b/agent/joiner/joiner.go
@@ -0,0 +1,92 @@
+// Package joiner joins the parts of an agent on the users' platform into a
+// process. Package runner does the same for an agent on the stand-ins.
+package joiner
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/conductor"
+	"cowslipbend.dev/internal/caller"
+	"cowslipbend.dev/internal/server"
+	"cowslipbend.dev/platform"
+	"cowslipbend.dev/warden"
+)
+
+// closeTime is for calls in flight when the agent stops.
+const closeTime = 500 * cowslipbend.Millisecond
+
+// Agent is an agent on the platform.
+type Agent struct {
+	settings platform.Settings
+	log      hclog.Logger
+	store    *platform.Store
+	caller   *caller.Caller
+	runner   *platform.Runner
+	warden   *warden.Warden
+	main     *server.Server
+	control  *server.Server
+}
+
+// New opens the listeners of an agent.
+func New(s platform.Settings, clock cowslipbend.Clock, log hclog.Logger) (*Agent, error) {
+	a := &Agent{settings: s, log: log, store: platform.NewStore(s.Store, clock), caller: caller.New(), runner: platform.NewRunner(s.Runner)}
+	settings := warden.Settings{URL: "http://" + s.Internal(), Life: cowslipbend.Incarnation(cowslipbend.DrawID()), Hold: s.Bounds.Hold}
+	for _, ip := range s.Seeds {
+		settings.Entries = append(settings.Entries, s.Peer(ip))
+	}
+	a.warden = warden.New(settings, a.runner, a.caller, a.owner, clock, log.Named("warden"))
+	mux := http.NewServeMux()
+	a.warden.Serve(mux)
+	var err error
+	if a.main, err = server.Listen(s.Internal(), mux); err != nil {
+		return nil, err
+	}
+	if a.control, err = server.Listen(s.Control, platform.ControlHandler(a.warden)); err != nil {
+		a.main.Close()
+		return nil, err
+	}
+	return a, nil
+}
+
+// owner reads from the store who owns the flows; it is asked when no entry
+// answers.
+func (a *Agent) owner(ctx context.Context) string {
+	row, err := a.store.Get(ctx, conductor.OwnerKey)
+	if err != nil || row.Version == 0 {
+		return ""
+	}
+	var h conductor.Head
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		a.log.Warn("owner's row is damaged", "error", err)
+	}
+	return h.URL
+}
+
+// Run serves until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	g, work := errgroup.WithContext(ctx)
+	g.Go(a.main.Run)
+	g.Go(a.control.Run)
+	g.Go(func() error { return a.warden.Run(work) })
+	g.Go(func() error {
+		<-work.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), closeTime.Duration())
+		defer cancel()
+		a.main.Shutdown(ctx)
+		a.control.Shutdown(ctx)
+		a.runner.Close()
+		a.caller.Close()
+		a.store.Close()
+		return nil
+	})
+	a.log.Info("agent runs", "agent", a.settings.Node, "domain", a.settings.Domain, "url", "http://"+a.settings.Internal())
+	err := g.Wait()
+	a.log.Info("agent stops", "error", err)
+	return err
+}
--- a/agent/main.go
+++ b/agent/main.go
@@ -37,8 +37,9 @@
 			starter.String("guard", string(d.Guard), "how services are defended against batch: throttle, evict or off"),
 			starter.Span("drain", d.Drain, "time for requests in flight after SIGTERM"),
 		},
-		Before: starter.Defer,
-		Action: run,
+		Commands: []*cli.Command{platformCommand()},
+		Before:   starter.Defer,
+		Action:   run,
 	}
 }
 
--- /dev/null
+++ b/conductor/round.go
@@ -0,0 +1,205 @@
+package conductor
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/planner"
+)
+
+// rounds decides, commits and lets the effects out, again and again.
+func (c *Conductor) rounds(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.kicked:
+		case <-c.clock.After(tick):
+		}
+		if err := c.round(ctx); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.clock.After(pause):
+		}
+	}
+}
+
+// work is what one round has decided.
+type work struct {
+	puts    []cowslipbend.Put
+	dels    []string
+	expired []cowslipbend.JobID
+	parcels []planner.Parcel
+	states  map[cowslipbend.JobID]cowslipbend.FlowState
+	waiting map[cowslipbend.QueueID]int
+	settled chan struct{}
+}
+
+func (c *Conductor) round(ctx context.Context) error {
+	w, err := c.decide()
+	if err != nil {
+		return err
+	}
+	if err := c.commit(ctx, w); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	for id, s := range w.states {
+		c.shown[id] = s
+	}
+	for _, id := range w.expired {
+		delete(c.shown, id)
+	}
+	c.waiting = w.waiting
+	c.mu.Unlock()
+	close(w.settled)
+	for _, p := range w.parcels {
+		c.group.Go(func() error {
+			c.send(ctx, p)
+			return nil
+		})
+	}
+	c.forget(ctx, w.expired)
+	return nil
+}
+
+func (c *Conductor) decide() (*work, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	c.plan.Configure(c.rules())
+	w := &work{states: map[cowslipbend.JobID]cowslipbend.FlowState{}}
+	w.parcels = c.plan.Decide(now, c.feed.Now(), c.clock.Wall())
+	for _, id := range c.plan.Dirty() {
+		w.states[id], _ = c.plan.State(id)
+		value, err := c.plan.Take(id)
+		if err != nil {
+			return nil, err
+		}
+		w.puts = append(w.puts, cowslipbend.Put{Key: RunKey(id), Value: value})
+	}
+	w.dels, c.forgotten = c.forgotten, nil
+	if urls, changed := c.plan.Agents(); changed {
+		value, err := json.Marshal(urls)
+		if err != nil {
+			return nil, cowslipbend.AsError(err)
+		}
+		w.puts = append(w.puts, cowslipbend.Put{Key: agentsKey, Value: value})
+	}
+	if now.Sub(c.expired) > expireEvery {
+		c.expired = now
+		w.expired = c.plan.Expired(c.feed.Now())
+	}
+	w.waiting = c.plan.Waiting()
+	w.settled, c.settled = c.settled, make(chan struct{})
+	return w, nil
+}
+
+// commit writes what a round has changed, or confirms the epoch now and then.
+func (c *Conductor) commit(ctx context.Context, w *work) error {
+	puts, dels := w.puts, w.dels
+	if len(puts)+len(dels) == 0 && c.clock.Now().Sub(c.lastConfirmed()) < confirmEvery {
+		return nil
+	}
+	for {
+		n := min(len(puts), maxPuts)
+		m := min(len(dels), maxPuts-n)
+		began, err := c.fence.Commit(ctx, puts[:n], dels[:m])
+		if err != nil {
+			return err
+		}
+		puts, dels = puts[n:], dels[m:]
+		c.mu.Lock()
+		c.confirmed = began
+		c.mu.Unlock()
+		if len(puts)+len(dels) == 0 {
+			return nil
+		}
+	}
+}
+
+func (c *Conductor) lastConfirmed() cowslipbend.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmed
+}
+
+// forget removes accepted flows that ended long ago. Their progress goes with
+// a later commit, as a flow without progress would be run again.
+func (c *Conductor) forget(ctx context.Context, ids []cowslipbend.JobID) {
+	for chunk := range slices.Chunk(ids, maxPuts/2) {
+		var keys, runs []string
+		for _, id := range chunk {
+			keys = append(keys, WorkKey(id), CancelKey(id))
+			runs = append(runs, RunKey(id))
+		}
+		if _, err := c.table.Commit(ctx, cowslipbend.Txn{Dels: keys}); err != nil {
+			c.log.Warn("ended flows were not removed", "count", len(chunk), "error", err)
+			continue
+		}
+		c.mu.Lock()
+		c.forgotten = append(c.forgotten, runs...)
+		c.mu.Unlock()
+	}
+}
+
+// greet tells the agents of the last owner who owns the flows now.
+func (c *Conductor) greet(ctx context.Context) {
+	row, err := c.table.Get(ctx, agentsKey)
+	if err != nil || row.Version == 0 {
+		return // Agents that are not told ask by themselves.
+	}
+	var urls []string
+	if err := json.Unmarshal(row.Value, &urls); err != nil {
+		c.log.Warn("list of agents is damaged", "error", err)
+		return
+	}
+	for _, url := range urls {
+		c.group.Go(func() error {
+			c.send(ctx, planner.Parcel{URL: url, Orders: cowslipbend.HostOrders{Epoch: c.fence.Epoch()}})
+			return nil
+		})
+	}
+}
+
+// send sends orders and takes the report that answers them.
+func (c *Conductor) send(ctx context.Context, p planner.Parcel) {
+	p.Orders.Owner = c.settings.URL
+	c.note(&p)
+	var r cowslipbend.HostReport
+	err := c.sender.Call(ctx, p.URL+PathOrders, &p.Orders, &r, orderTime)
+	if cowslipbend.KindOf(err) == cowslipbend.KindUnknown && ctx.Err() == nil {
+		// Agents carry an order out once, however often it arrives.
+		err = c.sender.Call(ctx, p.URL+PathOrders, &p.Orders, &r, orderTime)
+	}
+	now := c.clock.Now()
+	c.mu.Lock()
+	switch cowslipbend.KindOf(err) {
+	case "":
+		c.plan.Report(&r, now)
+	case cowslipbend.KindDown:
+		c.plan.Unsent(&p.Orders, now)
+	default:
+	}
+	c.mu.Unlock()
+	if err != nil {
+		c.log.Warn("orders were not confirmed", "agent", p.URL, "starts", len(p.Orders.Starts), "stops", len(p.Orders.Stops), "error", err)
+	}
+	c.kick()
+}
+
+// note logs the orders.
+func (c *Conductor) note(p *planner.Parcel) {
+	for i := range p.Orders.Starts {
+		s := &p.Orders.Starts[i]
+		c.log.Info("start", "flow", s.Task.Job, "task", s.Task.String(), "run", s.Run, "host", p.Orders.Life, "agent", p.URL)
+	}
+	for _, s := range p.Orders.Stops {
+		c.log.Info("stop", "flow", s.Task.Job, "task", s.Task.String(), "run", s.Run, "host", p.Orders.Life, "agent", p.URL)
+	}
+}
--- /dev/null
+++ b/entry/joiner/joiner.go
@@ -0,0 +1,174 @@
+// Package joiner joins the parts of an entry on the users' platform into a
+// process. Package runner does the same for an entry on the stand-ins.
+package joiner
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/conductor"
+	"cowslipbend.dev/elector"
+	"cowslipbend.dev/intaker"
+	"cowslipbend.dev/internal/caller"
+	"cowslipbend.dev/internal/server"
+	"cowslipbend.dev/planner"
+	"cowslipbend.dev/platform"
+	"cowslipbend.dev/ruler"
+	"cowslipbend.dev/timer"
+)
+
+// Times of an entry.
+const (
+	// leaseParts and leaseWhole give the part of the longest lease that is
+	// granted; the rest is left for rounding and slow clocks.
+	leaseParts = 9
+	leaseWhole = 10
+	// unconfirmed is how long an owner grants leases without the store:
+	// longer than the outages that are to lose no work.
+	unconfirmed = 10 * cowslipbend.Second
+	// balancerDelay is how long the balancer takes to notice that an entry is
+	// not ready: two looks a second apart, and one more for good measure.
+	balancerDelay = 2500 * cowslipbend.Millisecond
+	closeTime     = 2 * cowslipbend.Second
+)
+
+// Entry is an entry on the platform.
+type Entry struct {
+	settings platform.Settings
+	clock    cowslipbend.Clock
+	log      hclog.Logger
+	store    *platform.Store
+	caller   *caller.Caller
+	ruler    *ruler.Ruler
+	elector  *elector.Elector
+	intaker  *intaker.Intaker
+	leaving  atomic.Bool
+	servers  []*server.Server
+}
+
+// New opens the listeners of an entry.
+func New(s platform.Settings, clock cowslipbend.Clock, log hclog.Logger) (*Entry, error) {
+	e := &Entry{settings: s, clock: clock, log: log, store: platform.NewStore(s.Store, clock), caller: caller.New()}
+	e.ruler = ruler.New(ruler.Source{Feed: e.store, Table: platform.RulesTable, Key: platform.RulesKey, Decode: platform.DecodeRules}, clock, log.Named("ruler"))
+	url := "http://" + s.Internal()
+	life := cowslipbend.Incarnation(cowslipbend.DrawID())
+	lease := s.Bounds.Hold * leaseParts / leaseWhole
+	conduct := func(f *conductor.Fence) *conductor.Conductor {
+		return conductor.New(conductor.Settings{
+			URL: url, Unconfirmed: unconfirmed,
+			Planner: planner.Options{Lease: lease, Inherited: unconfirmed + lease + lease/leaseWhole, Keep: 2 * s.Bounds.Keep},
+		}, f, e.store, e.store, e.caller, e.ruler.Rules, clock, log.Named("conductor"))
+	}
+	self := elector.Member{ID: cowslipbend.EntryID(s.Node), URL: url, Life: life}
+	e.elector = elector.New(self, e.store, e.caller, clock, log.Named("elector"), conduct)
+	e.intaker = intaker.New(e.store, e.store, e.elector, e.caller, e.ruler.Rules, e.ready, clock, log.Named("intaker"))
+	return e, e.listen()
+}
+
+// listen opens the listeners, or closes all if one fails.
+func (e *Entry) listen() error {
+	control := http.NewServeMux()
+	for _, l := range []struct {
+		addr    string
+		handler http.Handler
+	}{
+		{e.settings.Internal(), e.internal()},
+		{e.settings.Front, platform.NewFront(e.intaker)},
+		{e.settings.Ready, platform.ReadyHandler(e.intaker)},
+		{e.settings.Control, control},
+	} {
+		if l.addr == "" {
+			continue
+		}
+		s, err := server.Listen(l.addr, l.handler)
+		if err != nil {
+			for _, s := range e.servers {
+				s.Close()
+			}
+			return err
+		}
+		e.servers = append(e.servers, s)
+	}
+	return nil
+}
+
+// internal serves the agents and the other entries.
+func (e *Entry) internal() http.Handler {
+	mux := http.NewServeMux()
+	e.intaker.Serve(mux)
+	caller.Handle(mux, elector.PathHealth, func(context.Context, *struct{}) (elector.Health, error) {
+		return e.elector.Health(), nil
+	})
+	caller.Handle(mux, conductor.PathReport, func(ctx context.Context, r *cowslipbend.HostReport) (cowslipbend.ReportReply, error) {
+		c := e.elector.Conductor()
+		if c == nil {
+			return cowslipbend.ReportReply{Owner: e.elector.Owner(), Entries: e.elector.Entries()}, nil
+		}
+		reply, err := c.Report(ctx, r)
+		reply.Entries = e.elector.Entries()
+		return reply, err
+	})
+	return mux
+}
+
+// ready returns why callers should go elsewhere, or nil.
+func (e *Entry) ready() error {
+	if e.leaving.Load() {
+		return cowslipbend.Fail(cowslipbend.KindLeaving, "entry is shutting down", "send callers to another entry")
+	}
+	if e.ruler.Rules() == nil {
+		return cowslipbend.Fail(cowslipbend.KindDown, "no configuration is in force", "wait for the store")
+	}
+	return nil
+}
+
+// Run serves until the context ends, then lets the requests in flight finish.
+func (e *Entry) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	for _, s := range e.servers {
+		g.Go(s.Run)
+	}
+	g.Go(func() error { return e.ruler.Run(work) })
+	g.Go(func() error { return e.elector.Run(work) })
+	g.Go(func() error { return e.intaker.Run(work) })
+	g.Go(func() error {
+		select {
+		case <-work.Done():
+		case <-ctx.Done():
+			e.drain(work)
+		}
+		stop()
+		e.close()
+		return nil
+	})
+	e.log.Info("entry runs", "entry", e.settings.Node, "domain", e.settings.Domain, "url", "http://"+e.settings.Internal())
+	err := g.Wait()
+	e.log.Info("entry stops", "error", err)
+	return err
+}
+
+// drain fails readiness, has another entry take the flows, and serves on until
+// the balancer sends no more callers.
+func (e *Entry) drain(ctx context.Context) {
+	e.log.Info("entry drains")
+	e.leaving.Store(true)
+	e.elector.Leave()
+	timer.Sleep(ctx, e.clock, balancerDelay)
+}
+
+func (e *Entry) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime.Duration())
+	defer cancel()
+	for _, s := range e.servers {
+		s.Shutdown(ctx)
+	}
+	e.caller.Close()
+	e.store.Close()
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -36,8 +36,9 @@
 			starter.Span("delay", d.Delay, "time that the balancer takes to notice a leaving entry"),
 			starter.Span("drain", d.Drain, "time for requests in flight after that"),
 		},
-		Before: starter.Defer,
-		Action: run,
+		Commands: []*cli.Command{platformCommand()},
+		Before:   starter.Defer,
+		Action:   run,
 	}
 }
 
--- /dev/null
+++ b/planner/decide.go
@@ -0,0 +1,140 @@
+package planner
+
+import (
+	"sort"
+
+	"cowslipbend.dev"
+)
+
+// Parcel is the orders for one agent.
+type Parcel struct {
+	URL    string
+	Orders cowslipbend.HostOrders
+}
+
+// Decide places what can run, stops what must not, and returns the orders.
+// They may be sent once the flows of Dirty are committed. Now is this process'
+// clock, shared the store's and wall the time of day.
+func (p *Planner) Decide(now, shared, wall cowslipbend.Time) []Parcel {
+	p.Tell(shared)
+	p.Lapse(now)
+	p.sweep(now)
+	var ready []*flow
+	for _, f := range p.live {
+		if f.def.Rounds > 0 && f.due(wall) {
+			p.mark(f)
+		}
+		if f.hasWork() {
+			ready = append(ready, f)
+		}
+	}
+	p.order(ready, shared)
+	hosts := p.byService(now)
+	for _, f := range ready {
+		p.placeFlow(f, hosts[p.policy(f).Service], now)
+	}
+	p.introduce()
+	return p.parcels()
+}
+
+func (f *flow) hasWork() bool {
+	for _, r := range f.rounds {
+		for i := range r.steps {
+			if r.steps[i].ready && r.steps[i].waiting > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// byService groups the hosts that take new runs.
+func (p *Planner) byService(now cowslipbend.Time) map[cowslipbend.ServiceID][]*host {
+	hosts := map[cowslipbend.ServiceID][]*host{}
+	for _, h := range p.hosts {
+		if h.usable(now) {
+			hosts[h.spec.Service] = append(hosts[h.spec.Service], h)
+		}
+	}
+	for _, list := range hosts {
+		sort.Slice(list, func(i, j int) bool { return list[i].life < list[j].life })
+	}
+	return hosts
+}
+
+// sweep orders the stop of runs that must not go on, and of starts that were
+// not confirmed in time.
+func (p *Planner) sweep(now cowslipbend.Time) {
+	for _, h := range p.hosts {
+		if !h.known {
+			continue
+		}
+		for ref, pl := range h.runs {
+			if p.unwanted(ref, pl, now) && now.Sub(pl.stopped) >= stopTime {
+				pl.stopped = now
+				o := p.orders(h)
+				o.Stops = append(o.Stops, ref)
+			}
+		}
+	}
+}
+
+// unwanted reports whether a run must be stopped.
+func (p *Planner) unwanted(ref cowslipbend.RunRef, pl *place, now cowslipbend.Time) bool {
+	f := p.flows[ref.Task.Job]
+	if f == nil || f.final != "" {
+		return true
+	}
+	t := f.task(ref.Task)
+	if t == nil || t.run != ref.Run || t.phase != phasePlaced {
+		return true
+	}
+	return !pl.confirmed && !pl.inherited && now.Sub(pl.sent) > startTime
+}
+
+func (p *Planner) orders(h *host) *cowslipbend.HostOrders {
+	o := p.outbox[h]
+	if o == nil {
+		o = &cowslipbend.HostOrders{Epoch: p.epoch, Life: h.life}
+		p.outbox[h] = o
+	}
+	return o
+}
+
+// introduce tells agents that have restarted what their runs are.
+func (p *Planner) introduce() {
+	for _, a := range p.agents {
+		h := p.hosts[a.host]
+		if a.told || h == nil || !h.known {
+			continue
+		}
+		a.told = true
+		for ref, pl := range h.runs {
+			if pl.def != nil && (pl.def.Fills || pl.def.Target > 0) {
+				o := p.orders(h)
+				o.Known = append(o.Known, cowslipbend.RunStart{RunRef: ref, Fills: pl.def.Fills, Target: pl.def.Target})
+			}
+		}
+	}
+}
+
+func (p *Planner) parcels() []Parcel {
+	var list []Parcel
+	for h, o := range p.outbox {
+		list = append(list, Parcel{URL: h.url, Orders: *o})
+		delete(p.outbox, h)
+	}
+	return list
+}
+
+// start places one task.
+func (p *Planner) start(f *flow, r *round, s *step, index int, h *host, run cowslipbend.Attempt, now cowslipbend.Time) {
+	t := &s.tasks[index]
+	t.phase, t.run, t.host, t.since = phasePlaced, run, h.life, now
+	s.waiting--
+	ref := cowslipbend.RunRef{Task: f.def.Ref(r.number, s.index, index), Run: run}
+	h.add(ref, s.def, now)
+	o := p.orders(h)
+	o.Starts = append(o.Starts, cowslipbend.RunStart{RunRef: ref, Spec: f.def.Spec, Saved: t.saved, Fills: s.def.Fills, Target: s.def.Target})
+	p.mark(f)
+}
--- /dev/null
+++ b/planner/host.go
@@ -0,0 +1,108 @@
+package planner
+
+import (
+	"cowslipbend.dev"
+)
+
+// stepKey names a step of a round.
+type stepKey struct {
+	job   cowslipbend.JobID
+	round int
+	step  int
+}
+
+func keyOf(t cowslipbend.TaskRef) stepKey { return stepKey{t.Job, t.Round, t.Step} }
+
+// place is what a run takes on its host.
+type place struct {
+	def  *cowslipbend.Step
+	sent cowslipbend.Time
+	// confirmed is set once the host has said that the run is there.
+	confirmed bool
+	// stopped is when it was last ordered to stop, missed since when the
+	// host's lists lack it.
+	stopped cowslipbend.Time
+	missed  cowslipbend.Time
+	// inherited runs were ordered by an earlier owner.
+	inherited bool
+	// percent and tail are as the host last told.
+	percent int
+	tail    int64
+}
+
+// host is one life of a runner.
+type host struct {
+	life cowslipbend.Incarnation
+	url  string
+	spec cowslipbend.HostSpec
+	// known is set once its agent has reported in this epoch, fenced once the
+	// runner refuses earlier owners.
+	known  bool
+	fenced bool
+	seen   cowslipbend.Time
+	// granted is when its last lease has lapsed for certain.
+	granted cowslipbend.Time
+	// ends is the number of the last end that was taken in.
+	ends int64
+	runs map[cowslipbend.RunRef]*place
+	used cowslipbend.Resources
+	// filled sums the processors that filling runs would like to use.
+	filled cowslipbend.Millicores
+	// serving counts the runs with a latency target.
+	serving int
+	steps   map[stepKey]int
+	// full is until when it is passed over.
+	full cowslipbend.Time
+	past history
+}
+
+func newHost(life cowslipbend.Incarnation) *host {
+	return &host{life: life, runs: map[cowslipbend.RunRef]*place{}, steps: map[stepKey]int{}}
+}
+
+// add takes room for a run.
+func (h *host) add(ref cowslipbend.RunRef, def *cowslipbend.Step, now cowslipbend.Time) *place {
+	if pl := h.runs[ref]; pl != nil {
+		return pl
+	}
+	pl := &place{def: def, sent: now}
+	h.runs[ref] = pl
+	h.change(ref, def, 1)
+	return pl
+}
+
+// drop gives the room of a run back.
+func (h *host) drop(ref cowslipbend.RunRef) {
+	if pl := h.runs[ref]; pl != nil {
+		delete(h.runs, ref)
+		h.change(ref, pl.def, -1)
+	}
+}
+
+func (h *host) change(ref cowslipbend.RunRef, def *cowslipbend.Step, by int64) {
+	if def == nil {
+		return
+	}
+	h.used = h.used.Plus(def.Reserved().Times(by))
+	if def.Fills {
+		h.filled += def.Size.CPU * cowslipbend.Millicores(by)
+	}
+	if def.Target > 0 {
+		h.serving += int(by)
+	}
+	key := keyOf(ref.Task)
+	if h.steps[key] += int(by); h.steps[key] == 0 {
+		delete(h.steps, key)
+	}
+}
+
+// usable reports whether new runs may be placed on the host.
+func (h *host) usable(now cowslipbend.Time) bool {
+	return h.known && h.fenced && !h.spec.Draining && now.Sub(h.seen) < quiet && now >= h.full && h.granted > now
+}
+
+// free returns the room that is left.
+func (h *host) free() cowslipbend.Resources { return h.spec.Size.Minus(h.used) }
+
+// idle returns the processors that neither reserved nor filling runs use.
+func (h *host) idle() cowslipbend.Millicores { return h.spec.Size.CPU - h.used.CPU - h.filled }
--- /dev/null
+++ b/planner/place.go
@@ -0,0 +1,159 @@
+package planner
+
+import (
+	"slices"
+
+	"cowslipbend.dev"
+)
+
+// fillShare is the part of its processors that a filling run must find idle,
+// in per cent. Below it the run would mostly slow others that fill.
+const fillShare = 70
+
+// placeFlow places the waiting tasks of a flow's ready steps.
+func (p *Planner) placeFlow(f *flow, hosts []*host, now cowslipbend.Time) {
+	for _, r := range f.rounds {
+		for i := range r.steps {
+			s := &r.steps[i]
+			switch {
+			case !s.ready || s.waiting == 0:
+			case s.def.Gang:
+				p.placeGang(f, r, s, hosts, now)
+			default:
+				p.placeStep(f, r, s, hosts, now)
+			}
+		}
+	}
+}
+
+func (p *Planner) placeStep(f *flow, r *round, s *step, hosts []*host, now cowslipbend.Time) {
+	rack := s.rack(p)
+	for i := range s.tasks {
+		if s.tasks[i].phase != phaseWaiting {
+			continue
+		}
+		h := choose(hosts, s.def, stepKey{f.def.ID, r.number, s.index}, rack)
+		if h == nil {
+			return
+		}
+		if s.def.Compact && rack == "" {
+			rack = h.spec.Rack
+		}
+		p.start(f, r, s, i, h, s.tasks[i].run+1, now)
+	}
+}
+
+// rack returns the rack that the step's tasks must share, if it is fixed.
+func (s *step) rack(p *Planner) cowslipbend.Rack {
+	if !s.def.Compact {
+		return ""
+	}
+	for i := range s.tasks {
+		if h := p.hosts[s.tasks[i].host]; h != nil {
+			return h.spec.Rack
+		}
+	}
+	return ""
+}
+
+// placeGang places all tasks of a gang at once, or none.
+func (p *Planner) placeGang(f *flow, r *round, s *step, hosts []*host, now cowslipbend.Time) {
+	if s.waiting != len(s.tasks) {
+		return
+	}
+	var run cowslipbend.Attempt
+	for i := range s.tasks {
+		run = max(run, s.tasks[i].run)
+	}
+	key := stepKey{f.def.ID, r.number, s.index}
+	chosen, rack := make([]*host, 0, len(s.tasks)), cowslipbend.Rack("")
+	undo := func() {
+		for i, h := range chosen {
+			h.drop(cowslipbend.RunRef{Task: f.def.Ref(r.number, s.index, i), Run: run + 1})
+		}
+	}
+	for i := range s.tasks {
+		h := choose(hosts, s.def, key, rack)
+		if h == nil {
+			undo()
+			return
+		}
+		if s.def.Compact {
+			rack = h.spec.Rack
+		}
+		h.add(cowslipbend.RunRef{Task: f.def.Ref(r.number, s.index, i), Run: run + 1}, s.def, now)
+		chosen = append(chosen, h)
+	}
+	undo()
+	saved := s.newest()
+	for i, h := range chosen {
+		s.tasks[i].saved = saved
+		p.start(f, r, s, i, h, run+1, now)
+	}
+}
+
+// newest returns the checkpoint that a gang resumes from; any member's will
+// do.
+func (s *step) newest() string {
+	saved := ""
+	for i := range s.tasks {
+		saved = max(saved, s.tasks[i].saved)
+	}
+	return saved
+}
+
+// choose returns the best host for a task of the step, or nil.
+func choose(hosts []*host, def *cowslipbend.Step, key stepKey, rack cowslipbend.Rack) *host {
+	var best *host
+	var bestScore int64
+	for _, h := range hosts {
+		if !h.fits(def, key) || (rack != "" && h.spec.Rack != rack) {
+			continue
+		}
+		if score := h.score(def); best == nil || score > bestScore {
+			best, bestScore = h, score
+		}
+	}
+	return best
+}
+
+// fits reports whether the host may run a task of the step and has room.
+func (h *host) fits(def *cowslipbend.Step, key stepKey) bool {
+	if def.Label != "" && !slices.Contains(h.spec.Labels, def.Label) {
+		return false
+	}
+	if def.Spread > 0 && h.steps[key] >= def.Spread {
+		return false
+	}
+	if !def.Reserved().Fits(h.free()) {
+		return false
+	}
+	if def.Fills && h.filled > 0 {
+		return h.idle()*100 >= def.Size.CPU*fillShare
+	}
+	return true
+}
+
+// Weights of a host's score, in thousandths of a core.
+const (
+	// nearWeight outweighs any difference of idle processors: a task far from
+	// its data takes half as long again, or more.
+	nearWeight = 1 << 20
+	// besideWeight makes filling work avoid hosts that serve.
+	besideWeight = 4000
+)
+
+// score tells how well the host suits a task of the step.
+func (h *host) score(def *cowslipbend.Step) int64 {
+	score := int64(h.idle())
+	if def.Near != "" && slices.Contains(h.spec.Labels, string(def.Near)) {
+		score += nearWeight
+	}
+	if def.Fills {
+		score -= int64(h.serving) * besideWeight
+	}
+	if def.Target > 0 {
+		score -= int64(h.serving) * besideWeight
+	}
+	return score
+}
--- /dev/null
+++ b/planner/report.go
@@ -0,0 +1,204 @@
+package planner
+
+import (
+	"cowslipbend.dev"
+)
+
+// Report takes what an agent tells. The moment is on this process' clock.
+func (p *Planner) Report(r *cowslipbend.HostReport, now cowslipbend.Time) {
+	a := p.agents[r.URL]
+	if a == nil || a.life != r.Agent {
+		p.joined = p.joined || a == nil
+		a = &agent{url: r.URL, life: r.Agent}
+		if old := p.agents[r.URL]; old != nil {
+			a.host = old.host
+		}
+		p.agents[r.URL] = a
+	}
+	newer := r.Number > a.number
+	a.number = max(a.number, r.Number)
+	if r.Host == nil {
+		return
+	}
+	if newer && a.host != r.Host.Life {
+		p.replace(a, r.Host.Life)
+	}
+	h := p.hosts[r.Host.Life]
+	if h == nil || a.host != r.Host.Life {
+		return
+	}
+	for _, res := range r.Results {
+		p.result(h, res, now)
+	}
+	if newer {
+		h.url, h.spec, h.known, h.seen = r.URL, *r.Host, true, now
+		h.fenced = r.Fence == p.epoch
+		p.lists(h, r, now)
+	}
+}
+
+// replace notes that the agent's runner has a new life: nothing of the old one
+// runs any more.
+func (p *Planner) replace(a *agent, life cowslipbend.Incarnation) {
+	if old := p.hosts[a.host]; old != nil {
+		p.lose(old)
+	}
+	a.host, a.told = life, false
+	if p.hosts[life] == nil {
+		p.hosts[life] = newHost(life)
+	}
+}
+
+// lose ends all runs of a host that has gone.
+func (p *Planner) lose(h *host) {
+	for ref := range h.runs {
+		h.drop(ref)
+		p.end(ref, cowslipbend.EndLapsed, "")
+	}
+	delete(p.hosts, h.life)
+}
+
+// lists compares what a host tells with what is known of it.
+func (p *Planner) lists(h *host, r *cowslipbend.HostReport, now cowslipbend.Time) {
+	there := make(map[cowslipbend.RunRef]bool, len(r.Running)+len(r.Ends))
+	for i := range r.Running {
+		s := &r.Running[i]
+		there[s.RunRef] = true
+		p.running(h, s, now)
+	}
+	for i := range r.Ends {
+		e := &r.Ends[i]
+		there[e.RunRef] = true
+		if e.Number <= h.ends {
+			continue
+		}
+		h.ends = e.Number
+		h.judge(p, e)
+		h.drop(e.RunRef)
+		p.end(e.RunRef, e.How, e.Saved)
+	}
+	for ref, pl := range h.runs {
+		if !there[ref] {
+			p.missing(h, ref, pl, now)
+		}
+	}
+}
+
+// running notes a run that is on the host.
+func (p *Planner) running(h *host, s *cowslipbend.RunState, now cowslipbend.Time) {
+	f := p.flows[s.Task.Job]
+	var t *task
+	if f != nil {
+		t = f.task(s.Task)
+	}
+	pl := h.runs[s.RunRef]
+	if pl == nil {
+		var def *cowslipbend.Step
+		if t != nil {
+			def = f.step(s.Task).def
+		}
+		pl = h.add(s.RunRef, def, now)
+	}
+	pl.missed, pl.percent, pl.tail = 0, s.Percent, s.Tail
+	if t == nil {
+		return
+	}
+	if !pl.confirmed {
+		p.confirm(s.RunRef, pl)
+	}
+	if t.run == s.Run && t.phase == phasePlaced && s.Saved != "" {
+		t.saved = s.Saved
+	}
+}
+
+// confirm notes that a run has begun.
+func (p *Planner) confirm(ref cowslipbend.RunRef, pl *place) {
+	pl.confirmed = true
+	if f := p.flows[ref.Task.Job]; f != nil && !f.begun {
+		f.begun = true
+		p.mark(f)
+	}
+}
+
+// missing decides about a run that the host's lists lack.
+func (p *Planner) missing(h *host, ref cowslipbend.RunRef, pl *place, now cowslipbend.Time) {
+	if pl.missed == 0 {
+		pl.missed = now
+	}
+	fenced := pl.inherited && h.fenced
+	lost := pl.confirmed && now.Sub(pl.missed) > missTime
+	if fenced || lost {
+		h.drop(ref)
+		p.end(ref, cowslipbend.EndLapsed, "")
+	}
+}
+
+// result takes what became of an order.
+func (p *Planner) result(h *host, res cowslipbend.RunResult, now cowslipbend.Time) {
+	pl := h.runs[res.RunRef]
+	if pl == nil {
+		return
+	}
+	switch res.Kind {
+	case cowslipbend.Started:
+		p.confirm(res.RunRef, pl)
+	case cowslipbend.Refused:
+		h.full = now.Add(fullTime)
+		h.refused(p, res, now)
+		fallthrough
+	case cowslipbend.Absent:
+		h.drop(res.RunRef)
+		p.end(res.RunRef, cowslipbend.EndLapsed, "")
+	}
+}
+
+// Reply returns the answer to a report: the lease, and up to which end all has
+// been committed.
+func (p *Planner) Reply(r *cowslipbend.HostReport, now cowslipbend.Time) cowslipbend.ReportReply {
+	reply := cowslipbend.ReportReply{Epoch: p.epoch}
+	if r.Host == nil {
+		return reply
+	}
+	reply.Life = r.Host.Life
+	if h := p.hosts[r.Host.Life]; h != nil && h.known {
+		reply.Grant, reply.Acked = p.opts.Lease, h.ends
+		h.granted = max(h.granted, now.Add(p.opts.Lease+p.opts.Lease/driftDivisor+leaseSlack))
+	}
+	return reply
+}
+
+// Lapse ends the runs of hosts whose lease has certainly lapsed.
+func (p *Planner) Lapse(now cowslipbend.Time) {
+	for _, h := range p.hosts {
+		if h.granted <= now && (len(h.runs) > 0 || now.Sub(h.seen) > p.opts.Inherited) && now.Sub(h.seen) > quiet {
+			p.lose(h)
+		}
+	}
+}
+
+// Agents returns the URLs of the known agents, and whether they have changed
+// since the last call.
+func (p *Planner) Agents() (urls []string, changed bool) {
+	changed, p.joined = p.joined, false
+	for url := range p.agents {
+		urls = append(urls, url)
+	}
+	return urls, changed
+}
+
+// Unsent takes back orders of which no byte was sent.
+func (p *Planner) Unsent(o *cowslipbend.HostOrders, now cowslipbend.Time) {
+	h := p.hosts[o.Life]
+	if h == nil {
+		return
+	}
+	h.full = now.Add(fullTime)
+	for i := range o.Starts {
+		p.result(h, cowslipbend.RunResult{RunRef: o.Starts[i].RunRef, Kind: cowslipbend.Absent}, now)
+	}
+	for _, ref := range o.Stops {
+		if pl := h.runs[ref]; pl != nil {
+			pl.stopped = now
+		}
+	}
+}
--- a/table.go
+++ b/table.go
@@ -51,3 +51,24 @@
 	// Delete removes an object; a missing one is no error.
 	Delete(ctx context.Context, name string) error
 }
+
+// Changes are rows of one table that were put or removed after a version.
+type Changes struct {
+	Rows []Row
+	// Gone lists the keys of removed rows.
+	Gone []string
+	// Version is where to go on.
+	Version int64
+}
+
+// Feed tells changes of a table as they happen.
+type Feed interface {
+	// Changes waits up to the span for changes of the keys with the prefix
+	// "table/" after the version. KindStale means that the history is gone and
+	// the table must be read again.
+	Changes(ctx context.Context, table string, after int64, wait Span) (Changes, error)
+	// Snapshot reads all rows of a table and the version to follow it from.
+	Snapshot(ctx context.Context, table string) (Changes, error)
+	// Now returns the store's steady clock, as far as it is known here.
+	Now() Time
+}
--- /dev/null
+++ b/warden/hold.go
@@ -0,0 +1,151 @@
+package warden
+
+import (
+	"context"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/pacer"
+)
+
+// holds renews the lease and learns of ends, again and again.
+func (w *Warden) holds(ctx context.Context) error {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		released, unacked, host := w.released, len(w.ends) > 0, w.host
+		w.mu.Unlock()
+		if host == nil {
+			w.pause(ctx, released, holdWait)
+			continue
+		}
+		if unacked {
+			w.pause(ctx, released, holdPause)
+		}
+		if err := w.hold(ctx, true); err != nil {
+			w.log.Warn("runner was not held", "life", host.Life, "error", err)
+			w.pause(ctx, nil, holdPause)
+			continue
+		}
+		w.steer(ctx)
+	}
+	return nil
+}
+
+// pause waits until the channel is closed or the span has passed.
+func (w *Warden) pause(ctx context.Context, released <-chan struct{}, s cowslipbend.Span) {
+	select {
+	case <-ctx.Done():
+	case <-released:
+	case <-w.clock.After(s):
+	}
+}
+
+// hold renews the lease once and takes the runner's lists. One that waits
+// returns when a run ends.
+func (w *Warden) hold(ctx context.Context, wait bool) error {
+	w.mu.Lock()
+	if w.host == nil {
+		w.mu.Unlock()
+		return nil
+	}
+	life, until, acked, epoch := w.host.Life, w.until(w.lease), w.acked, w.epoch
+	span := cowslipbend.Span(0)
+	if wait && w.synced && len(w.ends) == 0 {
+		if span = holdWait; w.pacing() {
+			span = holdPace
+		}
+	}
+	w.held++
+	number := w.held
+	w.mu.Unlock()
+	list, err := w.runner.Hold(ctx, life, until, acked, span, epoch)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.host == nil || w.host.Life != life || list.Life != life || number < w.listed {
+		return nil
+	}
+	w.listed = number
+	w.offset, w.synced = list.Clock.Sub(w.clock.Now()), true
+	w.fence = max(w.fence, epoch)
+	w.running = list.Running
+	w.take(list.Ends)
+	return nil
+}
+
+// take keeps the ends that are not acknowledged and reports new ones at once.
+func (w *Warden) take(ends []cowslipbend.RunEnd) {
+	last := w.acked
+	if n := len(w.ends); n > 0 {
+		last = w.ends[n-1].Number
+	}
+	fresh := false
+	var kept []cowslipbend.RunEnd
+	for _, e := range ends {
+		if e.Number <= w.acked {
+			continue
+		}
+		kept = append(kept, e)
+		if e.Number > last {
+			fresh = true
+			delete(w.runs, e.RunRef)
+			w.log.Info("run ended", "flow", e.Task.Job, "task", e.Task.String(), "run", e.Run, "how", e.How, "number", e.Number)
+		}
+	}
+	w.ends = kept
+	if fresh {
+		w.kick()
+	}
+}
+
+// pacing reports whether filling runs work beside serving ones.
+func (w *Warden) pacing() bool {
+	fills, serves := false, false
+	for _, r := range w.runs {
+		fills = fills || r.fills
+		serves = serves || r.target > 0
+	}
+	return fills && serves
+}
+
+// steer sets the pace of the filling runs.
+func (w *Warden) steer(ctx context.Context) {
+	type change struct {
+		ref     cowslipbend.RunRef
+		percent int
+	}
+	w.mu.Lock()
+	if w.host == nil || !w.pacing() && w.pace.Pace() == 100 {
+		w.mu.Unlock()
+		return
+	}
+	var samples []pacer.Sample
+	for i := range w.running {
+		s := &w.running[i]
+		if r := w.runs[s.RunRef]; r != nil && r.target > 0 && s.Percent == 100 {
+			samples = append(samples, pacer.Sample{Tail: s.Tail, Target: int64(r.target)})
+		}
+	}
+	percent := w.pace.Observe(samples)
+	life, epoch := w.host.Life, w.epoch
+	var changes []change
+	for i := range w.running {
+		s := &w.running[i]
+		if r := w.runs[s.RunRef]; r != nil && r.fills && r.percent != percent {
+			changes = append(changes, change{s.RunRef, percent})
+		}
+	}
+	w.mu.Unlock()
+	for _, c := range changes {
+		if err := w.runner.Pace(ctx, life, c.ref, c.percent, epoch); err != nil {
+			w.log.Warn("run was not paced", "task", c.ref.Task.String(), "run", c.ref.Run, "percent", c.percent, "error", err)
+			continue
+		}
+		w.mu.Lock()
+		if r := w.runs[c.ref]; r != nil {
+			r.percent = c.percent
+		}
+		w.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/warden/orders.go
@@ -0,0 +1,182 @@
+package warden
+
+import (
+	"context"
+	"sync"
+
+	"cowslipbend.dev"
+)
+
+// Orders carries out what the owner wants and returns a report.
+func (w *Warden) Orders(ctx context.Context, o *cowslipbend.HostOrders) (cowslipbend.HostReport, error) {
+	w.mu.Lock()
+	if o.Epoch < w.epoch {
+		defer w.mu.Unlock()
+		return cowslipbend.HostReport{}, cowslipbend.Fail(cowslipbend.KindStale, "another owner has taken the flows", "step down")
+	}
+	fresh := o.Epoch > w.epoch
+	w.epoch, w.owner = o.Epoch, o.Owner
+	life := cowslipbend.Incarnation("")
+	if w.host != nil {
+		life = w.host.Life
+	}
+	draining := w.host != nil && w.host.Draining
+	for i := range o.Known {
+		w.know(&o.Known[i])
+	}
+	w.mu.Unlock()
+	if fresh {
+		// The runner must refuse earlier owners before its lists are told.
+		if err := w.hold(ctx, false); err != nil {
+			w.log.Warn("runner was not told of the new owner", "epoch", o.Epoch, "error", err)
+		}
+		w.kick()
+	}
+	var results []cowslipbend.RunResult
+	if o.Life != "" && o.Life != life {
+		results = refuseAll(o, cowslipbend.Absent, "runner has started again")
+	} else {
+		results = w.carryOut(ctx, o, life, draining)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.report()
+	r.Results = results
+	return r, nil
+}
+
+func (w *Warden) know(s *cowslipbend.RunStart) {
+	if w.runs[s.RunRef] == nil {
+		w.runs[s.RunRef] = &run{fills: s.Fills, target: s.Target, percent: 100}
+	}
+}
+
+func refuseAll(o *cowslipbend.HostOrders, kind cowslipbend.ResultKind, reason string) []cowslipbend.RunResult {
+	var results []cowslipbend.RunResult
+	for i := range o.Starts {
+		results = append(results, cowslipbend.RunResult{RunRef: o.Starts[i].RunRef, Kind: kind, Reason: reason})
+	}
+	for _, ref := range o.Stops {
+		results = append(results, cowslipbend.RunResult{RunRef: ref, Kind: cowslipbend.Absent, Reason: reason})
+	}
+	return results
+}
+
+// carryOut starts and stops runs, all at the same time.
+func (w *Warden) carryOut(ctx context.Context, o *cowslipbend.HostOrders, life cowslipbend.Incarnation, draining bool) []cowslipbend.RunResult {
+	if draining {
+		starts := &cowslipbend.HostOrders{Starts: o.Starts}
+		results := refuseAll(starts, cowslipbend.Refused, "draining")
+		w.stops(ctx, o, life)
+		return results
+	}
+	var mu sync.Mutex
+	var results []cowslipbend.RunResult
+	var wait sync.WaitGroup
+	for i := range o.Starts {
+		wait.Add(1)
+		w.group.Go(func() error {
+			defer wait.Done()
+			if res := w.start(ctx, &o.Starts[i], o.Epoch, life); res != nil {
+				mu.Lock()
+				results = append(results, *res)
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	w.stops(ctx, o, life)
+	wait.Wait()
+	return results
+}
+
+func (w *Warden) stops(ctx context.Context, o *cowslipbend.HostOrders, life cowslipbend.Incarnation) {
+	for _, ref := range o.Stops {
+		w.group.Go(func() error {
+			w.stop(ctx, ref, o.Epoch, life)
+			return nil
+		})
+	}
+}
+
+// start begins one run. It returns nil if it is not known whether the run is
+// there; a stop then settles it.
+func (w *Warden) start(ctx context.Context, s *cowslipbend.RunStart, epoch cowslipbend.Epoch, life cowslipbend.Incarnation) *cowslipbend.RunResult {
+	w.mu.Lock()
+	until := w.until(min(w.lease, w.clock.Now().Add(startWithin)))
+	w.know(s)
+	w.mu.Unlock()
+	res := &cowslipbend.RunResult{RunRef: s.RunRef}
+	if until == 0 {
+		res.Kind, res.Reason = cowslipbend.Refused, "no lease"
+		w.forget(s.RunRef)
+		return res
+	}
+	_, err := w.runner.Start(ctx, life, *s, until, epoch)
+	switch cowslipbend.KindOf(err) {
+	case "":
+		res.Kind = cowslipbend.Started
+	case cowslipbend.KindUnknown:
+		w.log.Warn("start was not answered", "flow", s.Task.Job, "task", s.Task.String(), "run", s.Run, "error", err)
+		w.group.Go(func() error {
+			w.stop(ctx, s.RunRef, epoch, life)
+			return nil
+		})
+		return nil
+	default:
+		res.Kind, res.Reason = cowslipbend.Refused, cowslipbend.AsError(err).What
+		w.forget(s.RunRef)
+		w.log.Info("start refused", "flow", s.Task.Job, "task", s.Task.String(), "run", s.Run, "reason", res.Reason)
+	}
+	return res
+}
+
+func (w *Warden) forget(ref cowslipbend.RunRef) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.runs, ref)
+}
+
+// stop ends a run, however often it must be asked, and reports it as absent if
+// the runner does not list it afterwards.
+func (w *Warden) stop(ctx context.Context, ref cowslipbend.RunRef, epoch cowslipbend.Epoch, life cowslipbend.Incarnation) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		current := w.host != nil && w.host.Life == life && w.epoch == epoch
+		w.mu.Unlock()
+		if !current {
+			return
+		}
+		err := w.runner.Stop(ctx, life, ref, epoch)
+		if cowslipbend.KindOf(err) != cowslipbend.KindUnknown {
+			break
+		}
+		w.log.Warn("stop was not answered", "flow", ref.Task.Job, "task", ref.Task.String(), "run", ref.Run, "error", err)
+		w.pause(ctx, nil, stopPause)
+	}
+	if err := w.hold(ctx, false); err != nil {
+		return // The owner asks again.
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.host == nil || w.host.Life != life || w.lists(ref) {
+		return
+	}
+	w.results = append(w.results, cowslipbend.RunResult{RunRef: ref, Kind: cowslipbend.Absent, Reason: "stopped before it began"})
+	w.kick()
+}
+
+// lists reports whether the runner lists the run as running or ended.
+func (w *Warden) lists(ref cowslipbend.RunRef) bool {
+	for i := range w.running {
+		if w.running[i].RunRef == ref {
+			return true
+		}
+	}
+	for i := range w.ends {
+		if w.ends[i].RunRef == ref {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/warden/warden.go
@@ -0,0 +1,225 @@
+package warden
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/conductor"
+	"cowslipbend.dev/internal/caller"
+	"cowslipbend.dev/pacer"
+)
+
+// Times of a warden.
+const (
+	// reportEvery is the longest time between two reports.
+	reportEvery = 500 * cowslipbend.Millisecond
+	// reportTime bounds a report; its answer waits for a commit.
+	reportTime = 1500 * cowslipbend.Millisecond
+	// reportPause is the pause after a report that nobody took.
+	reportPause = 150 * cowslipbend.Millisecond
+	// holdWait is how long a hold waits for an end, holdPace the same while
+	// runs are paced, whose tails change twice a second.
+	holdWait = 1000 * cowslipbend.Millisecond
+	holdPace = 300 * cowslipbend.Millisecond
+	// holdPause is the pause while ends wait to be acknowledged, as a hold
+	// then answers at once, and after a hold that failed.
+	holdPause = 150 * cowslipbend.Millisecond
+	// startWithin is how long after its order a start may begin: a runner that
+	// carries it out later does nothing.
+	startWithin = 1500 * cowslipbend.Millisecond
+	// stopPause is the pause between two attempts to stop a run.
+	stopPause = 200 * cowslipbend.Millisecond
+	// driftDivisor is the share by which the runner's clock may be slow.
+	driftDivisor = 50
+)
+
+// Settings are what a warden needs to know of its process.
+type Settings struct {
+	// URL is where the owner sends orders.
+	URL string
+	// Entries are the URLs to ask for the owner first.
+	Entries []string
+	Life    cowslipbend.Incarnation
+	// Hold is the longest lease that a runner grants.
+	Hold cowslipbend.Span
+}
+
+// Owners finds the owner when no entry answers; it returns nothing if it
+// cannot tell.
+type Owners func(ctx context.Context) string
+
+// run is what the warden knows of one run beyond the runner's list.
+type run struct {
+	fills  bool
+	target cowslipbend.Span
+	// percent is the pace that the runner has confirmed.
+	percent int
+}
+
+// Warden looks after one runner.
+type Warden struct {
+	settings Settings
+	runner   cowslipbend.Runner
+	caller   *caller.Caller
+	find     Owners
+	clock    cowslipbend.Clock
+	log      hclog.Logger
+
+	mu sync.Mutex
+	// host is the runner as it last told, nil while none is known.
+	host     *cowslipbend.HostSpec
+	sequence int64
+	// offset is what the runner's clock is ahead of this host's, at least.
+	offset cowslipbend.Span
+	synced bool
+	// lease is until when, on this host's clock, the owner has granted.
+	lease cowslipbend.Time
+	epoch cowslipbend.Epoch
+	// fence is the epoch that the runner enforces.
+	fence   cowslipbend.Epoch
+	owner   string
+	entries []string
+	number  int64
+	acked   int64
+	running []cowslipbend.RunState
+	ends    []cowslipbend.RunEnd
+	// held numbers the holds, so that lists do not go back.
+	held    int64
+	listed  int64
+	results []cowslipbend.RunResult
+	runs    map[cowslipbend.RunRef]*run
+	pace    *pacer.Pacer
+	// released is closed and replaced when ends are acknowledged or the
+	// runner changes.
+	released chan struct{}
+
+	kicked chan struct{}
+	group  *errgroup.Group
+	done   chan struct{}
+}
+
+// New returns a warden of the runner.
+func New(s Settings, r cowslipbend.Runner, c *caller.Caller, find Owners, clock cowslipbend.Clock, log hclog.Logger) *Warden {
+	return &Warden{
+		settings: s, runner: r, caller: c, find: find, clock: clock, log: log, entries: s.Entries,
+		runs: map[cowslipbend.RunRef]*run{}, pace: pacer.New(), released: make(chan struct{}), kicked: make(chan struct{}, 1), done: make(chan struct{}),
+	}
+}
+
+// Done is closed when Run has returned.
+func (w *Warden) Done() <-chan struct{} { return w.done }
+
+// Run looks after the runner until the context ends.
+func (w *Warden) Run(ctx context.Context) error {
+	defer close(w.done)
+	g, ctx := errgroup.WithContext(ctx)
+	w.mu.Lock()
+	w.group = g
+	w.mu.Unlock()
+	g.Go(func() error { return w.holds(ctx) })
+	g.Go(func() error { return w.reports(ctx) })
+	return g.Wait()
+}
+
+// Serve adds the calls that the owner makes.
+func (w *Warden) Serve(mux *http.ServeMux) {
+	caller.Handle(mux, conductor.PathOrders, func(ctx context.Context, o *cowslipbend.HostOrders) (cowslipbend.HostReport, error) {
+		return w.Orders(ctx, o)
+	})
+}
+
+// Beat takes a heartbeat of the runner.
+func (w *Warden) Beat(b cowslipbend.HostBeat) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.host != nil && w.host.Life == b.Host.Life {
+		if b.Sequence <= w.sequence {
+			return
+		}
+		changed := w.host.Draining != b.Host.Draining
+		w.sequence, w.host = b.Sequence, &b.Host
+		if changed {
+			w.log.Info("runner drains", "life", b.Host.Life, "left", b.Host.Left)
+			w.kick()
+		}
+		return
+	}
+	if w.host != nil && older(b.Host.Life, w.host.Life) {
+		return
+	}
+	w.adopt(b)
+}
+
+// adopt begins to look after another life of the runner.
+func (w *Warden) adopt(b cowslipbend.HostBeat) {
+	w.log.Info("runner known", "life", b.Host.Life, "service", b.Host.Service, "cpu", b.Host.Size.CPU, "mem", b.Host.Size.Mem)
+	w.host, w.sequence = &b.Host, b.Sequence
+	w.synced, w.fence, w.acked = false, 0, 0
+	w.running, w.ends, w.results = nil, nil, nil
+	w.listed = w.held
+	w.runs = map[cowslipbend.RunRef]*run{}
+	w.pace = pacer.New()
+	w.release()
+	w.kick()
+}
+
+// older reports whether a life began before another. Lives end in the moment
+// of their start.
+func older(a, b cowslipbend.Incarnation) bool { return born(a) < born(b) }
+
+func born(l cowslipbend.Incarnation) string {
+	i := slices.Index([]byte(l), '@')
+	s := string(l)[i+1:]
+	// Moments of equal length compare as text.
+	const width = 20
+	for len(s) < width {
+		s = "0" + s
+	}
+	return s
+}
+
+// Leave takes word that the runner ends.
+func (w *Warden) Leave(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.host == nil || w.host.Runner != name {
+		return
+	}
+	w.log.Info("runner leaves", "life", w.host.Life)
+	spec := *w.host
+	spec.Draining = true
+	w.host = &spec
+	w.kick()
+}
+
+func (w *Warden) kick() {
+	select {
+	case w.kicked <- struct{}{}:
+	default:
+	}
+}
+
+func (w *Warden) release() {
+	close(w.released)
+	w.released = make(chan struct{})
+}
+
+// until returns a moment of this host's clock on the runner's, which it never
+// reaches later even if it is slow; zero while the runner's clock is unknown.
+func (w *Warden) until(t cowslipbend.Time) cowslipbend.Time {
+	if !w.synced {
+		return 0
+	}
+	left := t.Sub(w.clock.Now())
+	if left <= 0 {
+		return 0
+	}
+	left -= left / driftDivisor
+	return w.clock.Now().Add(left).Add(w.offset)
+}
