blamer, pacer: slow only filling images that disturb what serves beside them

Ruled out: processors of the hosts (a quarter idle) and the tasks' own load, whose swings stay below the target.

--- a/host.go
+++ b/host.go
@@ -87,6 +87,23 @@
 	Reason string     `json:"reason,omitempty"`
 }
 
+// PairLevel is how a filling image presses on a serving one.
+type PairLevel string
+
+// The levels of a pair.
+const (
+	PairUnknown  PairLevel = ""
+	PairHarmless PairLevel = "harmless"
+	PairHarmful  PairLevel = "harmful"
+)
+
+// Pair is what is known of a serving and a filling image.
+type Pair struct {
+	Serving string    `json:"serving"`
+	Filling string    `json:"filling"`
+	Level   PairLevel `json:"level"`
+}
+
 // HostReport is what an agent tells the owner.
 type HostReport struct {
 	Agent Incarnation `json:"agent"`
@@ -100,6 +117,8 @@
 	Running []RunState  `json:"running,omitempty"`
 	Ends    []RunEnd    `json:"ends,omitempty"`
 	Results []RunResult `json:"results,omitempty"`
+	// Pairs is the version of the pairs of images that the agent knows.
+	Pairs int64 `json:"pairs,omitempty"`
 }
 
 // ReportReply answers a report.
@@ -113,16 +132,23 @@
 	// Life and Acked say up to which end of which life all is recorded.
 	Life  Incarnation `json:"life,omitempty"`
 	Acked int64       `json:"acked,omitempty"`
+	// Pairs is what is known of images, if it has changed, at Version.
+	Pairs   []Pair `json:"pairs,omitempty"`
+	Version int64  `json:"version,omitempty"`
 }
 
 // RunStart asks for a run.
 type RunStart struct {
 	RunRef
-	Spec   string `json:"spec,omitempty"`
-	Saved  string `json:"saved,omitempty"`
-	Fills  bool   `json:"fills,omitempty"`
-	Target Span   `json:"target,omitempty"`
-	Ticket string `json:"ticket,omitempty"`
+	Spec  string `json:"spec,omitempty"`
+	Saved string `json:"saved,omitempty"`
+	// Image, Fills, Target and CPU are those of the step; the agent paces by
+	// them.
+	Image  string     `json:"image,omitempty"`
+	Fills  bool       `json:"fills,omitempty"`
+	Target Span       `json:"target,omitempty"`
+	CPU    Millicores `json:"cpu,omitempty"`
+	Ticket string     `json:"ticket,omitempty"`
 }
 
 // HostOrders are what the owner wants of an agent. Empty orders announce the
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -112,7 +112,7 @@
 		for ref, pl := range h.runs {
 			if pl.def != nil && (pl.def.Fills || pl.def.Target > 0) {
 				o := p.orders(h)
-				o.Known = append(o.Known, cowslipbend.RunStart{RunRef: ref, Fills: pl.def.Fills, Target: pl.def.Target})
+				o.Known = append(o.Known, describe(ref, pl.def))
 			}
 		}
 	}
@@ -135,6 +135,13 @@
 	ref := cowslipbend.RunRef{Task: f.def.Ref(r.number, s.index, index), Run: run}
 	h.add(ref, s.def, now)
 	o := p.orders(h)
-	o.Starts = append(o.Starts, cowslipbend.RunStart{RunRef: ref, Spec: f.def.Spec, Saved: t.saved, Fills: s.def.Fills, Target: s.def.Target})
+	order := describe(ref, s.def)
+	order.Spec, order.Saved = f.def.Spec, t.saved
+	o.Starts = append(o.Starts, order)
 	p.mark(f)
 }
+
+// describe tells an agent what it needs to know of a run to pace it.
+func describe(ref cowslipbend.RunRef, def *cowslipbend.Step) cowslipbend.RunStart {
+	return cowslipbend.RunStart{RunRef: ref, Image: def.Image, Fills: def.Fills, Target: def.Target, CPU: def.Size.CPU}
+}
--- a/planner/host.go
+++ b/planner/host.go
@@ -48,16 +48,22 @@
 	used cowslipbend.Resources
 	// filled sums the processors that filling runs would like to use.
 	filled cowslipbend.Millicores
-	// serving counts the runs with a latency target.
+	// serving counts the runs with a latency target, and served sums the
+	// processors that they reserve.
 	serving int
+	served  cowslipbend.Millicores
 	steps   map[stepKey]int
 	// full is until when it is passed over.
 	full cowslipbend.Time
 	past history
+	// observed is when its tails were last looked at.
+	observed cowslipbend.Time
+	// images counts the serving runs by image.
+	images map[string]int
 }
 
 func newHost(life cowslipbend.Incarnation) *host {
-	return &host{life: life, runs: map[cowslipbend.RunRef]*place{}, steps: map[stepKey]int{}}
+	return &host{life: life, runs: map[cowslipbend.RunRef]*place{}, steps: map[stepKey]int{}, images: map[string]int{}}
 }
 
 // add takes room for a run.
@@ -89,6 +95,12 @@
 	}
 	if def.Target > 0 {
 		h.serving += int(by)
+		h.served += def.Size.CPU * cowslipbend.Millicores(by)
+	}
+	if def.Target > 0 {
+		if h.images[def.Image] += int(by); h.images[def.Image] == 0 {
+			delete(h.images, def.Image)
+		}
 	}
 	key := keyOf(ref.Task)
 	if h.steps[key] += int(by); h.steps[key] == 0 {
@@ -104,5 +116,11 @@
 // free returns the room that is left.
 func (h *host) free() cowslipbend.Resources { return h.spec.Size.Minus(h.used) }
 
-// idle returns the processors that neither reserved nor filling runs use.
-func (h *host) idle() cowslipbend.Millicores { return h.spec.Size.CPU - h.used.CPU - h.filled }
+// servedShare is the part of their reservation that serving runs are taken to
+// use, in per cent: they are sized for their peaks.
+const servedShare = 50
+
+// idle returns the processors that the runs are taken to leave unused.
+func (h *host) idle() cowslipbend.Millicores {
+	return h.spec.Size.CPU - h.used.CPU + h.served*(100-servedShare)/100 - h.filled
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -32,7 +32,7 @@
 		if s.tasks[i].phase != phaseWaiting {
 			continue
 		}
-		h := choose(hosts, s.def, stepKey{f.def.ID, r.number, s.index}, rack)
+		h := p.choose(hosts, s.def, stepKey{f.def.ID, r.number, s.index}, rack)
 		if h == nil {
 			return
 		}
@@ -73,7 +73,7 @@
 		}
 	}
 	for i := range s.tasks {
-		h := choose(hosts, s.def, key, rack)
+		h := p.choose(hosts, s.def, key, rack)
 		if h == nil {
 			undo()
 			return
@@ -103,14 +103,14 @@
 }
 
 // choose returns the best host for a task of the step, or nil.
-func choose(hosts []*host, def *cowslipbend.Step, key stepKey, rack cowslipbend.Rack) *host {
+func (p *Planner) choose(hosts []*host, def *cowslipbend.Step, key stepKey, rack cowslipbend.Rack) *host {
 	var best *host
 	var bestScore int64
 	for _, h := range hosts {
 		if !h.fits(def, key) || (rack != "" && h.spec.Rack != rack) {
 			continue
 		}
-		if score := h.score(def); best == nil || score > bestScore {
+		if score := p.score(h, def); best == nil || score > bestScore {
 			best, bestScore = h, score
 		}
 	}
@@ -128,7 +128,7 @@
 	if !def.Reserved().Fits(h.free()) {
 		return false
 	}
-	if def.Fills && h.filled > 0 {
+	if def.Fills {
 		return h.idle()*100 >= def.Size.CPU*fillShare
 	}
 	return true
@@ -139,21 +139,42 @@
 	// nearWeight outweighs any difference of idle processors: a task far from
 	// its data takes half as long again, or more.
 	nearWeight = 1 << 20
-	// besideWeight makes filling work avoid hosts that serve.
-	besideWeight = 4000
+	// harmWeight makes filling work avoid what it disturbs before all else,
+	// and unknownWeight what it may disturb.
+	harmWeight    = 1 << 18
+	unknownWeight = 1 << 12
+	// alikeWeight gathers serving tasks of one image, so that what disturbs
+	// them finds hosts without any.
+	alikeWeight = 1 << 14
 )
 
 // score tells how well the host suits a task of the step.
-func (h *host) score(def *cowslipbend.Step) int64 {
+func (p *Planner) score(h *host, def *cowslipbend.Step) int64 {
 	score := int64(h.idle())
 	if def.Near != "" && slices.Contains(h.spec.Labels, string(def.Near)) {
 		score += nearWeight
 	}
-	if def.Fills {
-		score -= int64(h.serving) * besideWeight
-	}
-	if def.Target > 0 {
-		score -= int64(h.serving) * besideWeight
+	switch {
+	case def.Fills:
+		score -= p.pressure(h, def.Image)
+	case def.Target > 0 && h.images[def.Image] > 0:
+		score += alikeWeight
 	}
 	return score
 }
+
+// pressure weighs what a filling image would do to the serving images of the
+// host.
+func (p *Planner) pressure(h *host, filling string) int64 {
+	var sum int64
+	for image := range h.images {
+		switch p.blame.Level(image, filling) {
+		case cowslipbend.PairHarmful:
+			sum += harmWeight
+		case cowslipbend.PairUnknown:
+			sum += unknownWeight
+		case cowslipbend.PairHarmless:
+		}
+	}
+	return sum
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cowslipbend.dev"
+	"cowslipbend.dev/blamer"
 )
 
 // Options are the times of a planner.
@@ -54,6 +55,7 @@
 	shared cowslipbend.Time
 	// lengths learns how long tasks take against their estimates.
 	lengths lengths
+	blame   *blamer.Blamer
 	// joined is set when the agents have changed since Agents was last called.
 	joined bool
 	// outbox gathers the orders of a decision.
@@ -76,7 +78,7 @@
 	return &Planner{
 		opts: opts, epoch: epoch, flows: map[cowslipbend.JobID]*flow{}, early: map[cowslipbend.JobID]bool{},
 		hosts: map[cowslipbend.Incarnation]*host{}, agents: map[string]*agent{}, dirty: map[cowslipbend.JobID]bool{},
-		live: map[cowslipbend.JobID]*flow{}, lengths: lengths{}, outbox: map[*host]*cowslipbend.HostOrders{},
+		live: map[cowslipbend.JobID]*flow{}, lengths: lengths{}, blame: blamer.New(), outbox: map[*host]*cowslipbend.HostOrders{},
 	}
 }
 
--- a/planner/report.go
+++ b/planner/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cowslipbend.dev"
+	"cowslipbend.dev/blamer"
 )
 
 // Report takes what an agent tells. The moment is on this process' clock.
@@ -34,7 +35,34 @@
 		h.url, h.spec, h.known, h.seen = r.URL, *r.Host, true, now
 		h.fenced = r.Fence == p.epoch
 		p.lists(h, r, now)
+		if now.Sub(h.observed) >= observeEvery {
+			h.observed = now
+			p.blame.Observe(h.scene())
+		}
+	}
+}
+
+// observeEvery is the time between two looks at a host's tails, which are
+// figures of the last half second.
+const observeEvery = 450 * cowslipbend.Millisecond
+
+// scene returns what fills and serves on the host.
+func (h *host) scene() blamer.Scene {
+	s := blamer.Scene{Size: h.spec.Size.CPU}
+	used := map[string]cowslipbend.Millicores{}
+	for _, pl := range h.runs {
+		switch {
+		case pl.def == nil || !pl.confirmed:
+		case pl.def.Fills:
+			used[pl.def.Image] += cowslipbend.Millicores(pl.tail)
+		case pl.def.Target > 0 && pl.percent == 100:
+			s.Serving = append(s.Serving, blamer.Serving{Image: pl.def.Image, Ratio: float64(pl.tail) / float64(pl.def.Target)})
+		}
 	}
+	for image, cpu := range used {
+		s.Filling = append(s.Filling, blamer.Filling{Image: image, Used: cpu})
+	}
+	return s
 }
 
 // replace notes that the agent's runner has a new life: nothing of the old one
@@ -162,6 +190,10 @@
 	reply.Life = r.Host.Life
 	if h := p.hosts[r.Host.Life]; h != nil && h.known {
 		reply.Grant, reply.Acked = p.opts.Lease, h.ends
+		if r.Pairs != p.blame.Version() {
+			reply.Pairs = p.blame.Pairs()
+		}
+		reply.Version = p.blame.Version()
 		h.granted = max(h.granted, now.Add(p.opts.Lease+p.opts.Lease/driftDivisor+leaseSlack))
 	}
 	return reply
--- a/warden/hold.go
+++ b/warden/hold.go
@@ -109,43 +109,57 @@
 	return fills && serves
 }
 
+// steerEvery is the time between two changes of the pace: a tail is a figure
+// of the last half second.
+const steerEvery = 450 * cowslipbend.Millisecond
+
 // steer sets the pace of the filling runs.
 func (w *Warden) steer(ctx context.Context) {
-	type change struct {
-		ref     cowslipbend.RunRef
-		percent int
-	}
 	w.mu.Lock()
-	if w.host == nil || !w.pacing() && w.pace.Pace() == 100 {
+	if w.host == nil || w.clock.Now().Sub(w.steered) < steerEvery {
 		w.mu.Unlock()
 		return
 	}
+	w.steered = w.clock.Now()
+	life, epoch := w.host.Life, w.epoch
+	changes := w.paces()
+	w.mu.Unlock()
+	for ref, percent := range changes {
+		if err := w.runner.Pace(ctx, life, ref, percent, epoch); err != nil {
+			w.log.Warn("run was not paced", "task", ref.Task.String(), "run", ref.Run, "percent", percent, "error", err)
+			continue
+		}
+		w.mu.Lock()
+		if r := w.runs[ref]; r != nil {
+			r.percent = percent
+		}
+		w.mu.Unlock()
+	}
+}
+
+// paces returns the filling runs whose pace must change.
+func (w *Warden) paces() map[cowslipbend.RunRef]int {
 	var samples []pacer.Sample
 	for i := range w.running {
 		s := &w.running[i]
 		if r := w.runs[s.RunRef]; r != nil && r.target > 0 && s.Percent == 100 {
-			samples = append(samples, pacer.Sample{Tail: s.Tail, Target: int64(r.target)})
+			samples = append(samples, pacer.Sample{Image: r.image, Tail: s.Tail, Target: int64(r.target)})
 		}
 	}
-	percent := w.pace.Observe(samples)
-	life, epoch := w.host.Life, w.epoch
-	var changes []change
+	w.pace.Observe(samples)
+	changes := map[cowslipbend.RunRef]int{}
 	for i := range w.running {
-		s := &w.running[i]
-		if r := w.runs[s.RunRef]; r != nil && r.fills && r.percent != percent {
-			changes = append(changes, change{s.RunRef, percent})
-		}
-	}
-	w.mu.Unlock()
-	for _, c := range changes {
-		if err := w.runner.Pace(ctx, life, c.ref, c.percent, epoch); err != nil {
-			w.log.Warn("run was not paced", "task", c.ref.Task.String(), "run", c.ref.Run, "percent", c.percent, "error", err)
+		r := w.runs[w.running[i].RunRef]
+		if r == nil || !r.fills {
 			continue
 		}
-		w.mu.Lock()
-		if r := w.runs[c.ref]; r != nil {
-			r.percent = c.percent
+		if percent := w.pace.Pace(r.image, w.level); percent != r.percent {
+			changes[w.running[i].RunRef] = percent
 		}
-		w.mu.Unlock()
 	}
+	return changes
+}
+
+func (w *Warden) level(serving, filling string) cowslipbend.PairLevel {
+	return w.pairs[[2]string{serving, filling}]
 }
--- a/warden/orders.go
+++ b/warden/orders.go
@@ -36,7 +36,7 @@
 	if o.Life != "" && o.Life != life {
 		results = refuseAll(o, cowslipbend.Absent, "runner has started again")
 	} else {
-		results = w.carryOut(ctx, o, life, draining)
+		results = w.carryOut(o, life, draining)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -47,7 +47,7 @@
 
 func (w *Warden) know(s *cowslipbend.RunStart) {
 	if w.runs[s.RunRef] == nil {
-		w.runs[s.RunRef] = &run{fills: s.Fills, target: s.Target, percent: 100}
+		w.runs[s.RunRef] = &run{image: s.Image, fills: s.Fills, target: s.Target, cpu: s.CPU, percent: 100}
 	}
 }
 
@@ -63,11 +63,11 @@
 }
 
 // carryOut starts and stops runs, all at the same time.
-func (w *Warden) carryOut(ctx context.Context, o *cowslipbend.HostOrders, life cowslipbend.Incarnation, draining bool) []cowslipbend.RunResult {
+func (w *Warden) carryOut(o *cowslipbend.HostOrders, life cowslipbend.Incarnation, draining bool) []cowslipbend.RunResult {
 	if draining {
 		starts := &cowslipbend.HostOrders{Starts: o.Starts}
 		results := refuseAll(starts, cowslipbend.Refused, "draining")
-		w.stops(ctx, o, life)
+		w.stops(o, life)
 		return results
 	}
 	var mu sync.Mutex
@@ -75,27 +75,23 @@
 	var wait sync.WaitGroup
 	for i := range o.Starts {
 		wait.Add(1)
-		w.group.Go(func() error {
+		w.spawn(func(ctx context.Context) {
 			defer wait.Done()
 			if res := w.start(ctx, &o.Starts[i], o.Epoch, life); res != nil {
 				mu.Lock()
 				results = append(results, *res)
 				mu.Unlock()
 			}
-			return nil
 		})
 	}
-	w.stops(ctx, o, life)
+	w.stops(o, life)
 	wait.Wait()
 	return results
 }
 
-func (w *Warden) stops(ctx context.Context, o *cowslipbend.HostOrders, life cowslipbend.Incarnation) {
+func (w *Warden) stops(o *cowslipbend.HostOrders, life cowslipbend.Incarnation) {
 	for _, ref := range o.Stops {
-		w.group.Go(func() error {
-			w.stop(ctx, ref, o.Epoch, life)
-			return nil
-		})
+		w.spawn(func(ctx context.Context) { w.stop(ctx, ref, o.Epoch, life) })
 	}
 }
 
@@ -118,10 +114,7 @@
 		res.Kind = cowslipbend.Started
 	case cowslipbend.KindUnknown:
 		w.log.Warn("start was not answered", "flow", s.Task.Job, "task", s.Task.String(), "run", s.Run, "error", err)
-		w.group.Go(func() error {
-			w.stop(ctx, s.RunRef, epoch, life)
-			return nil
-		})
+		w.spawn(func(ctx context.Context) { w.stop(ctx, s.RunRef, epoch, life) })
 		return nil
 	default:
 		res.Kind, res.Reason = cowslipbend.Refused, cowslipbend.AsError(err).What
--- a/warden/report.go
+++ b/warden/report.go
@@ -12,6 +12,7 @@
 	w.number++
 	r := cowslipbend.HostReport{
 		Agent: w.settings.Life, URL: w.settings.URL, Number: w.number, Fence: w.fence, Running: w.running, Ends: w.ends,
+		Pairs: w.version,
 	}
 	if w.host != nil && w.synced {
 		spec := *w.host
@@ -48,6 +49,22 @@
 	if owner != "" && w.tellTo(ctx, owner, &r) {
 		return true
 	}
+	if w.seek(ctx, owner, &r) {
+		return true
+	}
+	w.keep(r.Results)
+	return false
+}
+
+// keep takes back results that nobody took.
+func (w *Warden) keep(results []cowslipbend.RunResult) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.results = append(results, w.results...)
+}
+
+// seek reports to the other entries until one is the owner.
+func (w *Warden) seek(ctx context.Context, owner string, r *cowslipbend.HostReport) bool {
 	w.mu.Lock()
 	entries := append([]string(nil), w.entries...)
 	if w.owner == owner {
@@ -55,18 +72,18 @@
 	}
 	w.mu.Unlock()
 	for _, url := range entries {
-		if url != owner && w.tellTo(ctx, url, &r) {
+		if url != owner && w.tellTo(ctx, url, r) {
 			return true
 		}
 		w.mu.Lock()
 		found := w.owner
 		w.mu.Unlock()
 		if found != "" && found != owner && found != url {
-			return w.tellTo(ctx, found, &r)
+			return w.tellTo(ctx, found, r)
 		}
 	}
 	if found := w.find(ctx); found != "" && found != owner {
-		return w.tellTo(ctx, found, &r)
+		return w.tellTo(ctx, found, r)
 	}
 	return false
 }
@@ -98,6 +115,12 @@
 	if fresh {
 		w.release()
 	}
+	if reply.Version != w.version {
+		w.version, w.pairs = reply.Version, make(map[[2]string]cowslipbend.PairLevel, len(reply.Pairs))
+		for _, p := range reply.Pairs {
+			w.pairs[[2]string{p.Serving, p.Filling}] = p.Level
+		}
+	}
 	if w.host != nil && reply.Life == w.host.Life {
 		w.granted(sent, &reply)
 	}
--- a/warden/warden.go
+++ b/warden/warden.go
@@ -56,8 +56,10 @@
 
 // run is what the warden knows of one run beyond the runner's list.
 type run struct {
+	image  string
 	fills  bool
 	target cowslipbend.Span
+	cpu    cowslipbend.Millicores
 	// percent is the pace that the runner has confirmed.
 	percent int
 }
@@ -95,20 +97,28 @@
 	results []cowslipbend.RunResult
 	runs    map[cowslipbend.RunRef]*run
 	pace    *pacer.Pacer
+	steered cowslipbend.Time
+	// pairs is what the owner knows of images, at the version.
+	pairs   map[[2]string]cowslipbend.PairLevel
+	version int64
 	// released is closed and replaced when ends are acknowledged or the
 	// runner changes.
 	released chan struct{}
 
 	kicked chan struct{}
-	group  *errgroup.Group
-	done   chan struct{}
+	// spawn runs a function beside the others until Run ends, whatever becomes
+	// of the call that asked for it.
+	spawn func(func(context.Context))
+	ready chan struct{}
+	done  chan struct{}
 }
 
 // New returns a warden of the runner.
 func New(s Settings, r cowslipbend.Runner, c *caller.Caller, find Owners, clock cowslipbend.Clock, log hclog.Logger) *Warden {
 	return &Warden{
 		settings: s, runner: r, caller: c, find: find, clock: clock, log: log, entries: s.Entries,
-		runs: map[cowslipbend.RunRef]*run{}, pace: pacer.New(), released: make(chan struct{}), kicked: make(chan struct{}, 1), done: make(chan struct{}),
+		runs: map[cowslipbend.RunRef]*run{}, pace: pacer.New(), released: make(chan struct{}), kicked: make(chan struct{}, 1),
+		ready: make(chan struct{}), done: make(chan struct{}),
 	}
 }
 
@@ -119,9 +129,13 @@
 func (w *Warden) Run(ctx context.Context) error {
 	defer close(w.done)
 	g, ctx := errgroup.WithContext(ctx)
-	w.mu.Lock()
-	w.group = g
-	w.mu.Unlock()
+	w.spawn = func(f func(context.Context)) {
+		g.Go(func() error {
+			f(ctx)
+			return nil
+		})
+	}
+	close(w.ready)
 	g.Go(func() error { return w.holds(ctx) })
 	g.Go(func() error { return w.reports(ctx) })
 	return g.Wait()
@@ -130,7 +144,12 @@
 // Serve adds the calls that the owner makes.
 func (w *Warden) Serve(mux *http.ServeMux) {
 	caller.Handle(mux, conductor.PathOrders, func(ctx context.Context, o *cowslipbend.HostOrders) (cowslipbend.HostReport, error) {
-		return w.Orders(ctx, o)
+		select {
+		case <-w.ready:
+			return w.Orders(ctx, o)
+		case <-ctx.Done():
+			return cowslipbend.HostReport{}, cowslipbend.Fail(cowslipbend.KindLeaving, "agent is starting or stopping", "send the orders again")
+		}
 	})
 }
 
