--- a/agent/joiner/joiner.go
+++ b/agent/joiner/joiner.go
@@ -70,16 +70,23 @@
 
 // Run serves until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
-	g, work := errgroup.WithContext(ctx)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, work := errgroup.WithContext(work)
 	g.Go(a.main.Run)
 	g.Go(a.control.Run)
 	g.Go(func() error { return a.warden.Run(work) })
 	g.Go(func() error {
-		<-work.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), closeTime.Duration())
+		select {
+		case <-work.Done():
+		case <-ctx.Done():
+		}
+		closing, cancel := context.WithTimeout(context.Background(), closeTime.Duration())
 		defer cancel()
-		a.main.Shutdown(ctx)
-		a.control.Shutdown(ctx)
+		// Orders in flight are answered before the rest stops.
+		a.main.Shutdown(closing)
+		stop()
+		a.control.Shutdown(closing)
 		a.runner.Close()
 		a.caller.Close()
 		a.store.Close()
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -297,6 +297,7 @@
 		case <-settled:
 		case <-ctx.Done():
 		case <-c.done:
+			return cowslipbend.ReportReply{}, cowslipbend.Fail(cowslipbend.KindStale, "another entry owns the flows", "report to that one")
 		}
 	}
 	c.mu.Lock()
--- a/conductor/round.go
+++ b/conductor/round.go
@@ -56,6 +56,7 @@
 		delete(c.shown, id)
 	}
 	c.waiting = w.waiting
+	c.plan.Committed()
 	c.mu.Unlock()
 	close(w.settled)
 	for _, p := range w.parcels {
@@ -173,18 +174,19 @@
 	c.note(&p)
 	var r cowslipbend.HostReport
 	err := c.sender.Call(ctx, p.URL+PathOrders, &p.Orders, &r, orderTime)
+	unsent := cowslipbend.KindOf(err) == cowslipbend.KindDown
 	if cowslipbend.KindOf(err) == cowslipbend.KindUnknown && ctx.Err() == nil {
-		// Agents carry an order out once, however often it arrives.
+		// Agents carry an order out once, however often it arrives. That the
+		// second call is not taken says nothing of the first.
 		err = c.sender.Call(ctx, p.URL+PathOrders, &p.Orders, &r, orderTime)
 	}
 	now := c.clock.Now()
 	c.mu.Lock()
-	switch cowslipbend.KindOf(err) {
-	case "":
+	switch {
+	case err == nil:
 		c.plan.Report(&r, now)
-	case cowslipbend.KindDown:
+	case unsent:
 		c.plan.Unsent(&p.Orders, now)
-	default:
 	}
 	c.mu.Unlock()
 	if err != nil {
--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -34,7 +34,9 @@
 	// balancerDelay is how long the balancer takes to notice that an entry is
 	// not ready: two looks a second apart, and one more for good measure.
 	balancerDelay = 2500 * cowslipbend.Millisecond
-	closeTime     = 2 * cowslipbend.Second
+	// closeTime is for the requests in flight after that; the platform kills
+	// the process six seconds after it asked it to stop.
+	closeTime = 3 * cowslipbend.Second
 )
 
 // Entry is an entry on the platform.
@@ -144,8 +146,9 @@
 		case <-ctx.Done():
 			e.drain(work)
 		}
-		stop()
+		// Requests in flight are answered before the rest stops.
 		e.close()
+		stop()
 		return nil
 	})
 	e.log.Info("entry runs", "entry", e.settings.Node, "domain", e.settings.Domain, "url", "http://"+e.settings.Internal())
--- a/entry/platform.go
+++ b/entry/platform.go
@@ -42,7 +42,10 @@
 	}
 	var g errgroup.Group
 	g.Go(out.Run)
+	reload, stop := context.WithCancel(ctx)
+	g.Go(func() error { return starter.Reload(reload, func() { platform.Reread(log) }) })
 	err = p.Run(ctx)
+	stop()
 	out.Close()
 	_ = g.Wait() // The outlet returns no error.
 	return err
--- /dev/null
+++ b/internal/starter/reload.go
@@ -0,0 +1,24 @@
+package starter
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Reload calls the function on every SIGHUP until the context ends. Without
+// it the signal would end the process.
+func Reload(ctx context.Context, f func()) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+			f()
+		}
+	}
+}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -34,9 +34,20 @@
 		p.placeFlow(f, hosts[p.policy(f).Service], now)
 	}
 	p.introduce()
+	for _, h := range p.hosts {
+		h.decided = h.ends
+	}
 	return p.parcels()
 }
 
+// Committed notes that the last decision is stored: the ends that it counted
+// in may be acknowledged.
+func (p *Planner) Committed() {
+	for _, h := range p.hosts {
+		h.acked = h.decided
+	}
+}
+
 func (f *flow) hasWork() bool {
 	for _, r := range f.rounds {
 		for i := range r.steps {
--- a/planner/host.go
+++ b/planner/host.go
@@ -44,8 +44,12 @@
 	granted cowslipbend.Time
 	// ends is the number of the last end that was taken in.
 	ends int64
-	runs map[cowslipbend.RunRef]*place
-	used cowslipbend.Resources
+	// decided is the last end that a decision has counted in, acked the last
+	// one that is committed.
+	decided int64
+	acked   int64
+	runs    map[cowslipbend.RunRef]*place
+	used    cowslipbend.Resources
 	// filled sums the processors that filling runs would like to use.
 	filled cowslipbend.Millicores
 	// serving counts the runs with a latency target, and served sums the
--- a/planner/report.go
+++ b/planner/report.go
@@ -189,7 +189,7 @@
 	}
 	reply.Life = r.Host.Life
 	if h := p.hosts[r.Host.Life]; h != nil && h.known {
-		reply.Grant, reply.Acked = p.opts.Lease, h.ends
+		reply.Grant, reply.Acked = p.opts.Lease, h.acked
 		if r.Pairs != p.blame.Version() {
 			reply.Pairs = p.blame.Pairs()
 		}
