--- a/conductor/round.go
+++ b/conductor/round.go
@@ -56,7 +56,7 @@
 		delete(c.shown, id)
 	}
 	c.waiting = w.waiting
-	c.plan.Committed()
+	c.plan.Committed(c.clock.Now())
 	c.mu.Unlock()
 	close(w.settled)
 	for _, p := range w.parcels {
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -41,10 +41,15 @@
 }
 
 // Committed notes that the last decision is stored: the ends that it counted
-// in may be acknowledged.
-func (p *Planner) Committed() {
+// in may be acknowledged, and its orders go out now.
+func (p *Planner) Committed(now cowslipbend.Time) {
 	for _, h := range p.hosts {
 		h.acked = h.decided
+		for _, pl := range h.runs {
+			if pl.sent == 0 {
+				pl.sent = now
+			}
+		}
 	}
 }
 
@@ -100,7 +105,7 @@
 	if t == nil || t.run != ref.Run || t.phase != phasePlaced {
 		return true
 	}
-	return !pl.confirmed && !pl.inherited && now.Sub(pl.sent) > startTime
+	return !pl.confirmed && !pl.inherited && pl.sent > 0 && now.Sub(pl.sent) > startTime
 }
 
 func (p *Planner) orders(h *host) *cowslipbend.HostOrders {
@@ -144,7 +149,7 @@
 	t.phase, t.run, t.host, t.since = phasePlaced, run, h.life, now
 	s.waiting--
 	ref := cowslipbend.RunRef{Task: f.def.Ref(r.number, s.index, index), Run: run}
-	h.add(ref, s.def, now)
+	h.add(ref, s.def)
 	o := p.orders(h)
 	order := describe(ref, s.def)
 	order.Spec, order.Saved = f.def.Spec, t.saved
--- a/planner/host.go
+++ b/planner/host.go
@@ -15,7 +15,8 @@
 
 // place is what a run takes on its host.
 type place struct {
-	def  *cowslipbend.Step
+	def *cowslipbend.Step
+	// sent is when its order was let out, zero before.
 	sent cowslipbend.Time
 	// confirmed is set once the host has said that the run is there.
 	confirmed bool
@@ -71,11 +72,11 @@
 }
 
 // add takes room for a run.
-func (h *host) add(ref cowslipbend.RunRef, def *cowslipbend.Step, now cowslipbend.Time) *place {
+func (h *host) add(ref cowslipbend.RunRef, def *cowslipbend.Step) *place {
 	if pl := h.runs[ref]; pl != nil {
 		return pl
 	}
-	pl := &place{def: def, sent: now}
+	pl := &place{def: def}
 	h.runs[ref] = pl
 	h.change(ref, def, 1)
 	return pl
--- a/planner/place.go
+++ b/planner/place.go
@@ -81,7 +81,7 @@
 		if s.def.Compact {
 			rack = h.spec.Rack
 		}
-		h.add(cowslipbend.RunRef{Task: f.def.Ref(r.number, s.index, i), Run: run + 1}, s.def, now)
+		h.add(cowslipbend.RunRef{Task: f.def.Ref(r.number, s.index, i), Run: run + 1}, s.def)
 		chosen = append(chosen, h)
 	}
 	undo()
--- a/planner/report.go
+++ b/planner/report.go
@@ -125,7 +125,7 @@
 		if t != nil {
 			def = f.step(s.Task).def
 		}
-		pl = h.add(s.RunRef, def, now)
+		pl = h.add(s.RunRef, def)
 	}
 	pl.missed, pl.percent, pl.tail = 0, s.Percent, s.Tail
 	if t == nil {
@@ -150,7 +150,7 @@
 
 // missing decides about a run that the host's lists lack.
 func (p *Planner) missing(h *host, ref cowslipbend.RunRef, pl *place, now cowslipbend.Time) {
-	if pl.missed == 0 {
+	if pl.confirmed && pl.missed == 0 {
 		pl.missed = now
 	}
 	fenced := pl.inherited && h.fenced
--- a/planner/row.go
+++ b/planner/row.go
@@ -121,7 +121,7 @@
 		h.granted = now.Add(p.opts.Inherited)
 		p.hosts[life] = h
 	}
-	h.add(ref, f.step(ref.Task).def, now).inherited = true
+	h.add(ref, f.step(ref.Task).def).inherited = true
 }
 
 // Shown returns the state that callers are told.
