blamer, planner: presses of images are estimated, and slowed filling runs move

Cause: pairs of images were called harmful or harmless by one or two moments; that took 20 s for 45 pairs, flipped, and left filling runs standing at pace 0 beside what they disturb.

--- a/blamer/doc.go
+++ b/blamer/doc.go
@@ -1,9 +1,13 @@
-// Package blamer learns which filling images press on which serving images.
-// It answers the load of hosts where a few pairs of images disturb each other
-// strongly, most hardly at all, and the load of serving tasks swings by itself:
-// a tail above its target is blamed on what filled beside it and has not been
-// seen to be harmless.
+// Package blamer learns how strongly filling images press on serving ones. It
+// answers the load of hosts where a few pairs of images disturb each other
+// much and most hardly at all, while the serving tasks' own load swings.
 //
-// Package planner feeds it from the hosts' reports and keeps harmful pairs
-// apart; package pacer slows what cannot be kept apart.
+// A serving task is taken for a queue: its tail is its base divided by the
+// share of time that is left to it. That share falls by its own load and, for
+// each filling image, by a press times the part of the host's processors that
+// the image uses. The presses are estimated by a Kalman filter with
+// independent terms for each serving image, whose own load counts as noise.
+//
+// Package planner feeds it from all hosts' reports and keeps strong pairs
+// apart. Package pacer uses the same estimates beside one runner.
 package blamer
--- a/conductor/round.go
+++ b/conductor/round.go
@@ -94,6 +94,9 @@
 	}
 	if now.Sub(c.expired) > expireEvery {
 		c.expired = now
+		if c.log.IsDebug() {
+			c.log.Debug("estimates about images", "pairs", c.plan.Pairs())
+		}
 		w.expired = c.plan.Expired(c.feed.Now())
 	}
 	w.waiting = c.plan.Waiting()
--- a/host.go
+++ b/host.go
@@ -87,21 +87,14 @@
 	Reason string     `json:"reason,omitempty"`
 }
 
-// PairLevel is how a filling image presses on a serving one.
-type PairLevel string
-
-// The levels of a pair.
-const (
-	PairUnknown  PairLevel = ""
-	PairHarmless PairLevel = "harmless"
-	PairHarmful  PairLevel = "harmful"
-)
-
-// Pair is what is known of a serving and a filling image.
+// Pair is an estimate of how a filling image presses on a serving one.
 type Pair struct {
-	Serving string    `json:"serving"`
-	Filling string    `json:"filling"`
-	Level   PairLevel `json:"level"`
+	Serving string `json:"serving"`
+	Filling string `json:"filling"`
+	// Press is the load that the filling image adds if it uses all of the
+	// host, with the variance of the estimate.
+	Press    float64 `json:"press"`
+	Variance float64 `json:"variance"`
 }
 
 // HostReport is what an agent tells the owner.
@@ -117,7 +110,7 @@
 	Running []RunState  `json:"running,omitempty"`
 	Ends    []RunEnd    `json:"ends,omitempty"`
 	Results []RunResult `json:"results,omitempty"`
-	// Pairs is the version of the pairs of images that the agent knows.
+	// Pairs is the version of the estimates about images that the agent has.
 	Pairs int64 `json:"pairs,omitempty"`
 }
 
@@ -132,7 +125,8 @@
 	// Life and Acked say up to which end of which life all is recorded.
 	Life  Incarnation `json:"life,omitempty"`
 	Acked int64       `json:"acked,omitempty"`
-	// Pairs is what is known of images, if it has changed, at Version.
+	// Pairs is what is known of the images on the host, if it has changed, at
+	// Version.
 	Pairs   []Pair `json:"pairs,omitempty"`
 	Version int64  `json:"version,omitempty"`
 }
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -1,83 +1,135 @@
 package pacer
 
-import "cowslipbend.dev"
+import (
+	"cmp"
+	"slices"
 
-// control is how the pace of one level follows the tail of a serving image.
-type control struct {
-	// high and low are shares of the target in per cent: above high the pace
-	// falls, below low it rises.
-	high, low int64
-	// keep is the part of the pace that a fall leaves, in per cent.
-	keep int
-	// raise is added by a rise, up to most; both in per cent.
-	raise, most int
-}
-
-// controls by level. A pair that is not known is tested in full, and stopped
-// as soon as the target is reached; a harmful one gets what the tail leaves.
-var controls = map[cowslipbend.PairLevel]control{
-	cowslipbend.PairHarmless: {high: 105, low: 90, keep: 60, raise: 20, most: full},
-	cowslipbend.PairUnknown:  {high: 95, low: 75, keep: 10, raise: 30, most: full},
-	cowslipbend.PairHarmful:  {high: 70, low: 55, keep: 0, raise: 4, most: 20},
-}
+	"cowslipbend.dev"
+	"cowslipbend.dev/blamer"
+)
 
-// full is the pace of a run that is not slowed, in per cent.
-const full = 100
+// Terms of the controller.
+const (
+	// aim is the tail that is aimed at, as a share of the target. The rest is
+	// for swings within the half second that a tail and a change of pace take.
+	aim = 0.75
+	// smooth is the weight of a new sample in the estimate of a serving task's
+	// own load.
+	smooth = 0.6
+	// full is the pace of a run that is not slowed, in per cent.
+	full = 100
+	// step is the least change of a pace that is worth a call, in per cent.
+	step = 8
+)
 
-// Sample is what one serving run reported.
-type Sample struct {
+// Run is a filling run.
+type Run struct {
+	Ref   cowslipbend.RunRef
 	Image string
-	// Tail and Target are in milliseconds.
-	Tail   int64
-	Target int64
+	// Share is the part of the host's processors that it wants, Used the part
+	// that it uses.
+	Share float64
+	Used  float64
+	// Pace is in force.
+	Pace int
 }
 
-// Levels tells what is known of a pair of a serving and a filling image.
-type Levels func(serving, filling string) cowslipbend.PairLevel
-
-// Pacer holds the paces of one host's filling runs.
+// Pacer holds what is known of one host's serving images.
 type Pacer struct {
-	paces map[string]map[cowslipbend.PairLevel]int
+	model *blamer.Blamer
+	// own is the load of each serving image without what fills beside it.
+	own map[string]float64
 }
 
-// New returns a pacer that lets filling runs work in full, but for harmful
-// ones.
-func New() *Pacer { return &Pacer{paces: map[string]map[cowslipbend.PairLevel]int{}} }
+// New returns a pacer that uses the model.
+func New(model *blamer.Blamer) *Pacer { return &Pacer{model: model, own: map[string]float64{}} }
 
-// Observe takes the samples of one moment.
-func (p *Pacer) Observe(samples []Sample) {
-	worst := map[string]int64{}
-	for _, s := range samples {
-		if s.Target > 0 {
-			worst[s.Image] = max(worst[s.Image], s.Tail*full/s.Target)
+// Decide takes one moment and returns the runs whose pace changes. Runs that
+// press least on what serves beside them go first, so that little is held
+// back for a given relief.
+func (p *Pacer) Decide(serving []blamer.Serving, runs []Run) map[cowslipbend.RunRef]int {
+	p.model.Observe(blamer.Scene{Serving: serving, Filling: fillings(runs)})
+	left := p.left(serving, runs)
+	order := slices.Clone(runs)
+	slices.SortStableFunc(order, func(a, b Run) int { return cmp.Compare(p.pressure(a.Image, left), p.pressure(b.Image, left)) })
+	changes := map[cowslipbend.RunRef]int{}
+	for _, r := range order {
+		pace := p.allow(r, left)
+		if pace != r.Pace && (pace == 0 || pace == full || abs(pace-r.Pace) >= step) {
+			changes[r.Ref] = pace
 		}
 	}
-	for image := range p.paces {
-		if _, ok := worst[image]; !ok {
-			delete(p.paces, image)
+	return changes
+}
+
+func fillings(runs []Run) []blamer.Filling {
+	used := map[string]float64{}
+	for _, r := range runs {
+		used[r.Image] += r.Used
+	}
+	list := make([]blamer.Filling, 0, len(used))
+	for image, share := range used {
+		list = append(list, blamer.Filling{Image: image, Share: share})
+	}
+	slices.SortFunc(list, func(a, b blamer.Filling) int { return cmp.Compare(a.Image, b.Image) })
+	return list
+}
+
+// left returns how much load each serving image can still take from what
+// fills beside it, by its worst task.
+func (p *Pacer) left(serving []blamer.Serving, runs []Run) map[string]float64 {
+	left := map[string]float64{}
+	for _, s := range serving {
+		if s.Target <= 0 {
+			continue
+		}
+		load := p.model.Load(s)
+		for _, r := range runs {
+			load -= p.model.Press(s.Image, r.Image) * r.Used
+		}
+		load = max(load, 0)
+		room := p.model.Goal(s.Image, s.Target, aim) - load
+		if old, ok := left[s.Image]; !ok || room < old {
+			left[s.Image] = room
 		}
 	}
-	for image, ratio := range worst {
-		if p.paces[image] == nil {
-			p.paces[image] = map[cowslipbend.PairLevel]int{cowslipbend.PairHarmless: full, cowslipbend.PairUnknown: full}
+	for image := range p.own {
+		if _, ok := left[image]; !ok {
+			delete(p.own, image)
 		}
-		for level, c := range controls {
-			switch pace := p.paces[image][level]; {
-			case ratio >= c.high:
-				p.paces[image][level] = pace * c.keep / full
-			case ratio < c.low:
-				p.paces[image][level] = min(pace+c.raise, c.most)
-			}
+	}
+	for image, room := range left {
+		if old, ok := p.own[image]; ok && room > old {
+			room = old + smooth*(room-old)
 		}
+		p.own[image], left[image] = room, room
 	}
+	return left
 }
 
-// Pace returns the share in per cent at which runs of a filling image may
-// work: the least that any serving image of the host allows.
-func (p *Pacer) Pace(filling string, levels Levels) int {
-	pace := full
-	for image, paces := range p.paces {
-		pace = min(pace, paces[levels(image, filling)])
+// pressure is what an image does to the serving images of the host together.
+func (p *Pacer) pressure(filling string, left map[string]float64) float64 {
+	sum := 0.0
+	for image := range left {
+		sum += p.model.Press(image, filling)
+	}
+	return sum
+}
+
+// allow returns the pace at which the run fits into what is left, and takes
+// that.
+func (p *Pacer) allow(r Run, left map[string]float64) int {
+	part := 1.0
+	for image, room := range left {
+		if press := p.model.Press(image, r.Image) * r.Share; press > 0 {
+			part = min(part, max(room, 0)/press)
+		}
+	}
+	pace := int(part * full)
+	for image := range left {
+		left[image] -= p.model.Press(image, r.Image) * r.Share * float64(pace) / full
 	}
 	return pace
 }
+
+func abs(n int) int { return max(n, -n) }
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -30,6 +30,7 @@
 	}
 	p.order(ready, shared)
 	hosts := p.byService(now)
+	p.move(hosts, now)
 	for _, f := range ready {
 		p.placeFlow(f, hosts[p.policy(f).Service], now)
 	}
@@ -101,6 +102,9 @@
 	if f == nil || f.final != "" {
 		return true
 	}
+	if pl.moving {
+		return true
+	}
 	t := f.task(ref.Task)
 	if t == nil || t.run != ref.Run || t.phase != phasePlaced {
 		return true
--- a/planner/host.go
+++ b/planner/host.go
@@ -29,6 +29,10 @@
 	// percent and tail are as the host last told.
 	percent int
 	tail    int64
+	// slow is since when a filling run has got little of its processors, and
+	// moving is set once it is stopped to run elsewhere.
+	slow   cowslipbend.Time
+	moving bool
 }
 
 // host is one life of a runner.
--- /dev/null
+++ b/planner/move.go
@@ -0,0 +1,62 @@
+package planner
+
+import (
+	"cowslipbend.dev"
+)
+
+// Terms of moving filling runs. They answer the load of filling images that
+// turn out to disturb what serves beside them: such a run is slowed until it
+// hardly works, while other hosts serve nothing that it disturbs.
+const (
+	// slowShare is the part of its processors, in per cent, below which a
+	// filling run is slow, slowTime how long it must have been so: a pace
+	// follows the tails within half a second.
+	slowShare = 30
+	slowTime  = 1500 * cowslipbend.Millisecond
+	// betterWeight is how much less pressure the other host must have.
+	betterWeight = 3000
+	// lostPercent is the progress up to which a run that saves nothing may be
+	// moved; more would be thrown away.
+	lostPercent = 15
+	// maxMoves bounds the moves of one decision.
+	maxMoves = 4
+)
+
+// slowed notes how a filling run gets on.
+func (pl *place) slowed(now cowslipbend.Time) {
+	switch {
+	case pl.def == nil || !pl.def.Fills || pl.def.Size.CPU == 0:
+	case pl.tail*100 >= int64(pl.def.Size.CPU)*slowShare:
+		pl.slow = 0
+	case pl.slow == 0:
+		pl.slow = now
+	}
+}
+
+// move stops slow filling runs for which another host is much better. They
+// wait again, with their checkpoint, once the host lists their end.
+func (p *Planner) move(hosts map[cowslipbend.ServiceID][]*host, now cowslipbend.Time) {
+	moves := 0
+	for _, list := range hosts {
+		for _, h := range list {
+			for ref, pl := range h.runs {
+				if moves >= maxMoves {
+					return
+				}
+				if pl.slow == 0 || pl.moving || now.Sub(pl.slow) < slowTime || (!pl.def.Saves && pl.percent > lostPercent) {
+					continue
+				}
+				if p.better(list, h, pl.def, keyOf(ref.Task)) {
+					pl.moving = true
+					moves++
+				}
+			}
+		}
+	}
+}
+
+// better reports whether another host suits the step much better.
+func (p *Planner) better(hosts []*host, than *host, def *cowslipbend.Step, key stepKey) bool {
+	best := p.choose(hosts, def, key, "")
+	return best != nil && best != than && p.pressure(best, def)+betterWeight < p.pressure(than, def)
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -139,10 +139,9 @@
 	// nearWeight outweighs any difference of idle processors: a task far from
 	// its data takes half as long again, or more.
 	nearWeight = 1 << 20
-	// harmWeight makes filling work avoid what it disturbs before all else,
-	// and unknownWeight what it may disturb.
-	harmWeight    = 1 << 18
-	unknownWeight = 1 << 12
+	// pressWeight is for a serving task that loses all of its time: filling
+	// work avoids what it disturbs before it looks for idle processors.
+	pressWeight = 100_000
 	// alikeWeight gathers serving tasks of one image, so that what disturbs
 	// them finds hosts without any.
 	alikeWeight = 1 << 14
@@ -156,25 +155,19 @@
 	}
 	switch {
 	case def.Fills:
-		score -= p.pressure(h, def.Image)
+		score -= p.pressure(h, def)
 	case def.Target > 0 && h.images[def.Image] > 0:
 		score += alikeWeight
 	}
 	return score
 }
 
-// pressure weighs what a filling image would do to the serving images of the
+// pressure weighs what a filling task would do to the serving tasks of the
 // host.
-func (p *Planner) pressure(h *host, filling string) int64 {
-	var sum int64
-	for image := range h.images {
-		switch p.blame.Level(image, filling) {
-		case cowslipbend.PairHarmful:
-			sum += harmWeight
-		case cowslipbend.PairUnknown:
-			sum += unknownWeight
-		case cowslipbend.PairHarmless:
-		}
+func (p *Planner) pressure(h *host, def *cowslipbend.Step) int64 {
+	sum := 0.0
+	for image, count := range h.images {
+		sum += float64(count) * p.blame.Press(image, def.Image) * h.share(def.Size.CPU)
 	}
-	return sum
+	return int64(sum * pressWeight)
 }
--- a/planner/report.go
+++ b/planner/report.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"sort"
+
 	"cowslipbend.dev"
 	"cowslipbend.dev/blamer"
 )
@@ -48,23 +50,29 @@
 
 // scene returns what fills and serves on the host.
 func (h *host) scene() blamer.Scene {
-	s := blamer.Scene{Size: h.spec.Size.CPU}
-	used := map[string]cowslipbend.Millicores{}
+	var s blamer.Scene
+	used := map[string]float64{}
 	for _, pl := range h.runs {
 		switch {
 		case pl.def == nil || !pl.confirmed:
 		case pl.def.Fills:
-			used[pl.def.Image] += cowslipbend.Millicores(pl.tail)
+			used[pl.def.Image] += h.share(cowslipbend.Millicores(pl.tail))
 		case pl.def.Target > 0 && pl.percent == 100:
-			s.Serving = append(s.Serving, blamer.Serving{Image: pl.def.Image, Ratio: float64(pl.tail) / float64(pl.def.Target)})
+			s.Serving = append(s.Serving, blamer.Serving{Image: pl.def.Image, Tail: float64(pl.tail), Target: float64(pl.def.Target)})
 		}
 	}
-	for image, cpu := range used {
-		s.Filling = append(s.Filling, blamer.Filling{Image: image, Used: cpu})
+	for image, share := range used {
+		s.Filling = append(s.Filling, blamer.Filling{Image: image, Share: share})
 	}
+	sort.Slice(s.Filling, func(i, j int) bool { return s.Filling[i].Image < s.Filling[j].Image })
 	return s
 }
 
+// share returns the part of the host's processors.
+func (h *host) share(cpu cowslipbend.Millicores) float64 {
+	return float64(cpu) / float64(max(h.spec.Size.CPU, 1))
+}
+
 // replace notes that the agent's runner has a new life: nothing of the old one
 // runs any more.
 func (p *Planner) replace(a *agent, life cowslipbend.Incarnation) {
@@ -128,6 +136,7 @@
 		pl = h.add(s.RunRef, def)
 	}
 	pl.missed, pl.percent, pl.tail = 0, s.Percent, s.Tail
+	pl.slowed(now)
 	if t == nil {
 		return
 	}
@@ -191,7 +200,7 @@
 	if h := p.hosts[r.Host.Life]; h != nil && h.known {
 		reply.Grant, reply.Acked = p.opts.Lease, h.acked
 		if r.Pairs != p.blame.Version() {
-			reply.Pairs = p.blame.Pairs()
+			reply.Pairs = p.blame.Pairs(func(serving string) bool { return h.images[serving] > 0 })
 		}
 		reply.Version = p.blame.Version()
 		h.granted = max(h.granted, now.Add(p.opts.Lease+p.opts.Lease/driftDivisor+leaseSlack))
@@ -234,3 +243,8 @@
 		}
 	}
 }
+
+// Pairs returns all estimates about images.
+func (p *Planner) Pairs() []cowslipbend.Pair {
+	return p.blame.Pairs(func(string) bool { return true })
+}
--- a/warden/hold.go
+++ b/warden/hold.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/blamer"
 	"cowslipbend.dev/pacer"
 )
 
@@ -139,27 +141,36 @@
 
 // paces returns the filling runs whose pace must change.
 func (w *Warden) paces() map[cowslipbend.RunRef]int {
-	var samples []pacer.Sample
+	var serving []blamer.Serving
+	var filling []pacer.Run
+	size := float64(max(w.host.Size.CPU, 1))
 	for i := range w.running {
 		s := &w.running[i]
-		if r := w.runs[s.RunRef]; r != nil && r.target > 0 && s.Percent == 100 {
-			samples = append(samples, pacer.Sample{Image: r.image, Tail: s.Tail, Target: int64(r.target)})
+		r := w.runs[s.RunRef]
+		switch {
+		case r == nil:
+		case r.fills:
+			filling = append(filling, pacer.Run{
+				Ref: s.RunRef, Image: r.image, Share: float64(r.cpu) / size, Used: float64(s.Tail) / size, Pace: r.percent,
+			})
+		case r.target > 0 && s.Percent == 100:
+			serving = append(serving, blamer.Serving{Image: r.image, Tail: float64(s.Tail), Target: float64(r.target)})
 		}
 	}
-	w.pace.Observe(samples)
-	changes := map[cowslipbend.RunRef]int{}
-	for i := range w.running {
-		r := w.runs[w.running[i].RunRef]
-		if r == nil || !r.fills {
-			continue
-		}
-		if percent := w.pace.Pace(r.image, w.level); percent != r.percent {
-			changes[w.running[i].RunRef] = percent
-		}
+	if w.log.IsDebug() {
+		w.log.Debug("look", "life", w.host.Life, "runs", w.describe())
 	}
-	return changes
+	return w.pace.Decide(serving, filling)
 }
 
-func (w *Warden) level(serving, filling string) cowslipbend.PairLevel {
-	return w.pairs[[2]string{serving, filling}]
+// describe lists the serving and filling runs for the log.
+func (w *Warden) describe() []string {
+	var list []string
+	for i := range w.running {
+		s := &w.running[i]
+		if r := w.runs[s.RunRef]; r != nil && (r.fills || r.target > 0) {
+			list = append(list, fmt.Sprintf("%s target=%d cpu=%d percent=%d tail=%d pace=%d", r.image, r.target, int64(r.cpu), s.Percent, s.Tail, r.percent))
+		}
+	}
+	return list
 }
--- a/warden/report.go
+++ b/warden/report.go
@@ -116,10 +116,8 @@
 		w.release()
 	}
 	if reply.Version != w.version {
-		w.version, w.pairs = reply.Version, make(map[[2]string]cowslipbend.PairLevel, len(reply.Pairs))
-		for _, p := range reply.Pairs {
-			w.pairs[[2]string{p.Serving, p.Filling}] = p.Level
-		}
+		w.version = reply.Version
+		w.model.Adopt(reply.Pairs)
 	}
 	if w.host != nil && reply.Life == w.host.Life {
 		w.granted(sent, &reply)
--- a/warden/warden.go
+++ b/warden/warden.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/blamer"
 	"cowslipbend.dev/conductor"
 	"cowslipbend.dev/internal/caller"
 	"cowslipbend.dev/pacer"
@@ -98,8 +99,9 @@
 	runs    map[cowslipbend.RunRef]*run
 	pace    *pacer.Pacer
 	steered cowslipbend.Time
-	// pairs is what the owner knows of images, at the version.
-	pairs   map[[2]string]cowslipbend.PairLevel
+	// model estimates how images press on each other; the owner's estimates,
+	// at the version, go before its own.
+	model   *blamer.Blamer
 	version int64
 	// released is closed and replaced when ends are acknowledged or the
 	// runner changes.
@@ -115,9 +117,10 @@
 
 // New returns a warden of the runner.
 func New(s Settings, r cowslipbend.Runner, c *caller.Caller, find Owners, clock cowslipbend.Clock, log hclog.Logger) *Warden {
+	model := blamer.New()
 	return &Warden{
 		settings: s, runner: r, caller: c, find: find, clock: clock, log: log, entries: s.Entries,
-		runs: map[cowslipbend.RunRef]*run{}, pace: pacer.New(), released: make(chan struct{}), kicked: make(chan struct{}, 1),
+		runs: map[cowslipbend.RunRef]*run{}, model: model, pace: pacer.New(model), released: make(chan struct{}), kicked: make(chan struct{}, 1),
 		ready: make(chan struct{}), done: make(chan struct{}),
 	}
 }
@@ -183,7 +186,7 @@
 	w.running, w.ends, w.results = nil, nil, nil
 	w.listed = w.held
 	w.runs = map[cowslipbend.RunRef]*run{}
-	w.pace = pacer.New()
+	w.pace = pacer.New(w.model)
 	w.release()
 	w.kick()
 }
