planner: filling tasks wait until a host lets them work at half speed or more

Cause: with more filling work than serving tasks leave room for, every host held filling runs at pace 0, and all jobs were late together.

--- a/blamer/blamer.go
+++ b/blamer/blamer.go
@@ -10,8 +10,8 @@
 const (
 	// priorPress is the press of an unknown image that uses all of a host, and
 	// priorVar its variance: most press weakly, some more than ten times that.
-	priorPress = 0.3
-	priorVar   = 3.0
+	priorPress = 0.8
+	priorVar   = 2.0
 	// ownLoad is the mean of a serving task's own load.
 	ownLoad = 0.42
 	// noiseVar is the variance of that load, which swings by half, and of a
--- a/planner/host.go
+++ b/planner/host.go
@@ -35,6 +35,12 @@
 	moving bool
 }
 
+// served is what serves on a host with one image.
+type served struct {
+	count  int
+	target cowslipbend.Span
+}
+
 // host is one life of a runner.
 type host struct {
 	life cowslipbend.Incarnation
@@ -67,12 +73,17 @@
 	past history
 	// observed is when its tails were last looked at.
 	observed cowslipbend.Time
-	// images counts the serving runs by image.
-	images map[string]int
+	// images holds the serving runs by image, fills the processors that
+	// filling runs want by image.
+	images map[string]served
+	fills  map[string]cowslipbend.Millicores
 }
 
 func newHost(life cowslipbend.Incarnation) *host {
-	return &host{life: life, runs: map[cowslipbend.RunRef]*place{}, steps: map[stepKey]int{}, images: map[string]int{}}
+	return &host{
+		life: life, runs: map[cowslipbend.RunRef]*place{}, steps: map[stepKey]int{}, images: map[string]served{},
+		fills: map[string]cowslipbend.Millicores{},
+	}
 }
 
 // add takes room for a run.
@@ -101,13 +112,18 @@
 	h.used = h.used.Plus(def.Reserved().Times(by))
 	if def.Fills {
 		h.filled += def.Size.CPU * cowslipbend.Millicores(by)
+		if h.fills[def.Image] += def.Size.CPU * cowslipbend.Millicores(by); h.fills[def.Image] == 0 {
+			delete(h.fills, def.Image)
+		}
 	}
 	if def.Target > 0 {
 		h.serving += int(by)
 		h.served += def.Size.CPU * cowslipbend.Millicores(by)
 	}
 	if def.Target > 0 {
-		if h.images[def.Image] += int(by); h.images[def.Image] == 0 {
+		s := h.images[def.Image]
+		s.count, s.target = s.count+int(by), def.Target
+		if h.images[def.Image] = s; s.count == 0 {
 			delete(h.images, def.Image)
 		}
 	}
--- a/planner/place.go
+++ b/planner/place.go
@@ -6,9 +6,10 @@
 	"cowslipbend.dev"
 )
 
-// fillShare is the part of its processors that a filling run must find idle,
-// in per cent. Below it the run would mostly slow others that fill.
-const fillShare = 70
+// leastRate is the rate at which a filling task must be expected to work. One
+// that would work more slowly waits: it would only hold memory, and slow
+// others or disturb what serves.
+const leastRate = 0.5
 
 // placeFlow places the waiting tasks of a flow's ready steps.
 func (p *Planner) placeFlow(f *flow, hosts []*host, now cowslipbend.Time) {
@@ -110,6 +111,9 @@
 		if !h.fits(def, key) || (rack != "" && h.spec.Rack != rack) {
 			continue
 		}
+		if def.Fills && p.rate(h, def) < leastRate {
+			continue
+		}
 		if score := p.score(h, def); best == nil || score > bestScore {
 			best, bestScore = h, score
 		}
@@ -128,9 +132,6 @@
 	if !def.Reserved().Fits(h.free()) {
 		return false
 	}
-	if def.Fills {
-		return h.idle()*100 >= def.Size.CPU*fillShare
-	}
 	return true
 }
 
@@ -142,6 +143,8 @@
 	// pressWeight is for a serving task that loses all of its time: filling
 	// work avoids what it disturbs before it looks for idle processors.
 	pressWeight = 100_000
+	// rateWeight is for a filling task that works in full.
+	rateWeight = 1 << 18
 	// alikeWeight gathers serving tasks of one image, so that what disturbs
 	// them finds hosts without any.
 	alikeWeight = 1 << 14
@@ -155,8 +158,8 @@
 	}
 	switch {
 	case def.Fills:
-		score -= p.pressure(h, def)
-	case def.Target > 0 && h.images[def.Image] > 0:
+		score += int64(p.rate(h, def)*rateWeight) - p.pressure(h, def)
+	case def.Target > 0 && h.images[def.Image].count > 0:
 		score += alikeWeight
 	}
 	return score
@@ -166,8 +169,37 @@
 // host.
 func (p *Planner) pressure(h *host, def *cowslipbend.Step) int64 {
 	sum := 0.0
-	for image, count := range h.images {
-		sum += float64(count) * p.blame.Press(image, def.Image) * h.share(def.Size.CPU)
+	for image, s := range h.images {
+		sum += float64(s.count) * p.blame.Press(image, def.Image) * h.share(def.Size.CPU)
 	}
 	return int64(sum * pressWeight)
 }
+
+// Terms of the rate at which a filling task is expected to work.
+const (
+	// aimShare is the tail that is aimed at, as a share of its target.
+	aimShare = 0.75
+	// usualLoad is what serving tasks are taken to load themselves.
+	usualLoad = 0.45
+)
+
+// rate returns the share at which a filling task would work beside what fills
+// and serves on the host already, from 0 to 1.
+func (p *Planner) rate(h *host, def *cowslipbend.Step) float64 {
+	rate := 1.0
+	if def.Size.CPU > 0 {
+		rate = min(rate, float64(h.idle())/float64(def.Size.CPU))
+	}
+	for image, s := range h.images {
+		press := p.blame.Press(image, def.Image) * h.share(def.Size.CPU)
+		if press <= 0 {
+			continue
+		}
+		room := p.blame.Goal(image, float64(s.target), aimShare) - usualLoad
+		for fill, cpu := range h.fills {
+			room -= p.blame.Press(image, fill) * h.share(cpu)
+		}
+		rate = min(rate, room/press)
+	}
+	return max(rate, 0)
+}
--- a/planner/report.go
+++ b/planner/report.go
@@ -200,7 +200,7 @@
 	if h := p.hosts[r.Host.Life]; h != nil && h.known {
 		reply.Grant, reply.Acked = p.opts.Lease, h.acked
 		if r.Pairs != p.blame.Version() {
-			reply.Pairs = p.blame.Pairs(func(serving string) bool { return h.images[serving] > 0 })
+			reply.Pairs = p.blame.Pairs(func(serving string) bool { return h.images[serving].count > 0 })
 		}
 		reply.Version = p.blame.Version()
 		h.granted = max(h.granted, now.Add(p.opts.Lease+p.opts.Lease/driftDivisor+leaseSlack))
