--- a/planner/move.go
+++ b/planner/move.go
@@ -12,7 +12,7 @@
 	// filling run is slow, slowTime how long it must have been so: a pace
 	// follows the tails within half a second.
 	slowShare = 30
-	slowTime  = 1500 * cowslipbend.Millisecond
+	slowTime  = 900 * cowslipbend.Millisecond
 	// betterWeight is how much less pressure the other host must have.
 	betterWeight = 3000
 	// lostPercent is the progress up to which a run that saves nothing may be
