--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -28,6 +28,10 @@
 	// granted; the rest is left for rounding and slow clocks.
 	leaseParts = 9
 	leaseWhole = 10
+	// longestLease bounds it: long enough for an agent that stands still for
+	// four seconds, and no longer, as the work of a host that was lost waits
+	// for it to lapse.
+	longestLease = 6 * cowslipbend.Second
 	// unconfirmed is how long an owner grants leases without the store:
 	// longer than the outages that are to lose no work.
 	unconfirmed = 10 * cowslipbend.Second
@@ -59,7 +63,7 @@
 	e.ruler = ruler.New(ruler.Source{Feed: e.store, Table: platform.RulesTable, Key: platform.RulesKey, Decode: platform.DecodeRules}, clock, log.Named("ruler"))
 	url := "http://" + s.Internal()
 	life := cowslipbend.Incarnation(cowslipbend.DrawID())
-	lease := s.Bounds.Hold * leaseParts / leaseWhole
+	lease := min(s.Bounds.Hold*leaseParts/leaseWhole, longestLease)
 	conduct := func(f *conductor.Fence) *conductor.Conductor {
 		return conductor.New(conductor.Settings{
 			URL: url, Unconfirmed: unconfirmed,
--- a/host.go
+++ b/host.go
@@ -106,7 +106,10 @@
 	// Fence is the epoch that the runner has confirmed to enforce.
 	Fence Epoch `json:"fence"`
 	// Host is nil while no runner is known.
-	Host    *HostSpec   `json:"host,omitempty"`
+	Host *HostSpec `json:"host,omitempty"`
+	// Lost names a life that certainly runs nothing any more, while no other
+	// is known.
+	Lost    Incarnation `json:"lost,omitempty"`
 	Running []RunState  `json:"running,omitempty"`
 	Ends    []RunEnd    `json:"ends,omitempty"`
 	Results []RunResult `json:"results,omitempty"`
@@ -159,7 +162,8 @@
 }
 
 // Runner is the platform's runner beside an agent. Errors have KindUnknown if
-// the call may have been carried out, KindStale if another life answered.
+// the call may have been carried out, KindDown if it was not sent, KindMissing
+// if no runner listens any more, KindStale if another life answered.
 type Runner interface {
 	// Start begins a run unless the moment, on the runner's clock, has passed.
 	// A refusal has KindBusy and its reason as What.
--- a/planner/report.go
+++ b/planner/report.go
@@ -21,6 +21,9 @@
 	newer := r.Number > a.number
 	a.number = max(a.number, r.Number)
 	if r.Host == nil {
+		if h := p.hosts[r.Lost]; newer && h != nil {
+			p.lose(h)
+		}
 		return
 	}
 	if newer && a.host != r.Host.Life {
--- a/warden/hold.go
+++ b/warden/hold.go
@@ -24,6 +24,7 @@
 		}
 		if err := w.hold(ctx, true); err != nil {
 			w.log.Warn("runner was not held", "life", host.Life, "error", err)
+			w.lapse(host.Life, cowslipbend.KindOf(err))
 			w.pause(ctx, nil, holdPause)
 			continue
 		}
@@ -32,6 +33,27 @@
 	return nil
 }
 
+// lapse gives a runner up that nobody listens for, or that has not answered
+// until its lease lapsed: all that it ran has ended. It is known again by its
+// next heartbeat.
+func (w *Warden) lapse(life cowslipbend.Incarnation, kind cowslipbend.Kind) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.host == nil || w.host.Life != life {
+		return
+	}
+	if w.absent++; kind != cowslipbend.KindMissing {
+		w.absent = 0
+	}
+	lapsed := w.given > 0 && w.clock.Now() > w.given
+	if w.absent < maxAbsent && !lapsed {
+		return
+	}
+	w.log.Warn("runner lost", "life", life, "lapsed", lapsed)
+	w.host, w.lost = nil, life
+	w.kick()
+}
+
 // pause waits until the channel is closed or the span has passed.
 func (w *Warden) pause(ctx context.Context, released <-chan struct{}, s cowslipbend.Span) {
 	select {
@@ -70,12 +92,32 @@
 	}
 	w.listed = number
 	w.offset, w.synced = list.Clock.Sub(w.clock.Now()), true
+	w.answered, w.absent = w.clock.Now(), 0
 	w.fence = max(w.fence, epoch)
-	w.running = list.Running
+	w.running = w.withStarted(list, number)
 	w.take(list.Ends)
 	return nil
 }
 
+// withStarted returns the runs of a list, and those that the runner has taken
+// since the hold began.
+func (w *Warden) withStarted(list cowslipbend.RunList, number int64) []cowslipbend.RunState {
+	there := make(map[cowslipbend.RunRef]bool, len(list.Running)+len(list.Ends))
+	for i := range list.Running {
+		there[list.Running[i].RunRef] = true
+	}
+	for i := range list.Ends {
+		there[list.Ends[i].RunRef] = true
+	}
+	running := list.Running
+	for ref, r := range w.runs {
+		if r.started && r.since >= number && !there[ref] {
+			running = append(running, cowslipbend.RunState{RunRef: ref})
+		}
+	}
+	return running
+}
+
 // take keeps the ends that are not acknowledged and reports new ones at once.
 func (w *Warden) take(ends []cowslipbend.RunEnd) {
 	last := w.acked
--- a/warden/orders.go
+++ b/warden/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"cowslipbend.dev"
@@ -112,6 +113,7 @@
 	switch cowslipbend.KindOf(err) {
 	case "":
 		res.Kind = cowslipbend.Started
+		w.taken(s.RunRef, life)
 	case cowslipbend.KindUnknown:
 		w.log.Warn("start was not answered", "flow", s.Task.Job, "task", s.Task.String(), "run", s.Run, "error", err)
 		w.spawn(func(ctx context.Context) { w.stop(ctx, s.RunRef, epoch, life) })
@@ -124,6 +126,20 @@
 	return res
 }
 
+// taken notes that the runner has a run, which its next list may still lack.
+func (w *Warden) taken(ref cowslipbend.RunRef, life cowslipbend.Incarnation) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.runs[ref]
+	if r == nil || w.host == nil || w.host.Life != life {
+		return // It has ended already, or with its runner.
+	}
+	r.started, r.since = true, w.held
+	if !w.lists(ref) {
+		w.running = append(slices.Clip(w.running), cowslipbend.RunState{RunRef: ref})
+	}
+}
+
 func (w *Warden) forget(ref cowslipbend.RunRef) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/warden/report.go
+++ b/warden/report.go
@@ -12,7 +12,7 @@
 	w.number++
 	r := cowslipbend.HostReport{
 		Agent: w.settings.Life, URL: w.settings.URL, Number: w.number, Fence: w.fence, Running: w.running, Ends: w.ends,
-		Pairs: w.version,
+		Pairs: w.version, Lost: w.lost,
 	}
 	if w.host != nil && w.synced {
 		spec := *w.host
--- a/warden/warden.go
+++ b/warden/warden.go
@@ -36,6 +36,12 @@
 	startWithin = 1500 * cowslipbend.Millisecond
 	// stopPause is the pause between two attempts to stop a run.
 	stopPause = 200 * cowslipbend.Millisecond
+	// silence is how long a runner may leave holds unanswered until its lease
+	// is not moved any more: two holds that wait and their time-outs.
+	silence = 3500 * cowslipbend.Millisecond
+	// maxAbsent is how often in a row nobody must listen at the runner's
+	// address until the runner counts as gone.
+	maxAbsent = 2
 	// driftDivisor is the share by which the runner's clock may be slow.
 	driftDivisor = 50
 )
@@ -61,6 +67,11 @@
 	fills  bool
 	target cowslipbend.Span
 	cpu    cowslipbend.Millicores
+	// started is set once the runner has taken the start, and since is the
+	// number of the last hold that had begun before: its list may lack the
+	// run.
+	started bool
+	since   int64
 	// percent is the pace that the runner has confirmed.
 	percent int
 }
@@ -83,7 +94,15 @@
 	synced bool
 	// lease is until when, on this host's clock, the owner has granted.
 	lease cowslipbend.Time
-	epoch cowslipbend.Epoch
+	// given is until when the runner may hold a lease, lost the life whose
+	// lease has lapsed without an answer.
+	given cowslipbend.Time
+	lost  cowslipbend.Incarnation
+	// answered is when the runner last answered a hold, absent how often in a
+	// row nobody listened.
+	answered cowslipbend.Time
+	absent   int
+	epoch    cowslipbend.Epoch
 	// fence is the epoch that the runner enforces.
 	fence   cowslipbend.Epoch
 	owner   string
@@ -181,7 +200,8 @@
 // adopt begins to look after another life of the runner.
 func (w *Warden) adopt(b cowslipbend.HostBeat) {
 	w.log.Info("runner known", "life", b.Host.Life, "service", b.Host.Service, "cpu", b.Host.Size.CPU, "mem", b.Host.Size.Mem)
-	w.host, w.sequence = &b.Host, b.Sequence
+	w.host, w.sequence, w.lost, w.given = &b.Host, b.Sequence, "", 0
+	w.answered, w.absent = w.clock.Now(), 0
 	w.synced, w.fence, w.acked = false, 0, 0
 	w.running, w.ends, w.results = nil, nil, nil
 	w.listed = w.held
@@ -233,15 +253,18 @@
 }
 
 // until returns a moment of this host's clock on the runner's, which it never
-// reaches later even if it is slow; zero while the runner's clock is unknown.
+// reaches later even if it is slow. It is zero, for no lease, while the
+// runner's clock is unknown or the runner is silent, so that the leases of a
+// runner that has gone come to an end.
 func (w *Warden) until(t cowslipbend.Time) cowslipbend.Time {
-	if !w.synced {
+	if !w.synced || w.clock.Now().Sub(w.answered) > silence {
 		return 0
 	}
 	left := t.Sub(w.clock.Now())
 	if left <= 0 {
 		return 0
 	}
+	w.given = max(w.given, t)
 	left -= left / driftDivisor
 	return w.clock.Now().Add(left).Add(w.offset)
 }
