--- /dev/null
+++ b/blamer/blamer_test.go
@@ -0,0 +1,85 @@
+package blamer_test
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/blamer"
+)
+
+const (
+	base   = 4.0  // milliseconds, the tail of a task without load
+	target = 18.0 // milliseconds
+)
+
+// tail is that of a task whose time is taken by the load.
+func tail(load float64) float64 { return math.Round(base / (1 - min(load, 0.99))) }
+
+// play shows a blamer hosts whose serving tasks swing, beside images with
+// these presses, each of which uses shares of the hosts in turn.
+func play(b *blamer.Blamer, presses map[string]float64, moments int) {
+	for i := range moments {
+		own := 0.42 + 0.2*math.Sin(float64(i)/3)
+		scene := blamer.Scene{}
+		load := own
+		for k, image := range []string{"heavy", "light", "other"} {
+			if _, ok := presses[image]; !ok || (i/(k+2))%2 == 0 {
+				continue
+			}
+			scene.Filling = append(scene.Filling, blamer.Filling{Image: image, Share: 0.12})
+			load += presses[image] * 0.12
+		}
+		scene.Serving = []blamer.Serving{{Image: "web", Tail: tail(load), Target: target}}
+		b.Observe(scene)
+	}
+}
+
+func TestPress(t *testing.T) {
+	t.Run("a heavy image is told from light ones among swings", func(t *testing.T) {
+		b := blamer.New()
+		play(b, map[string]float64{"heavy": 3, "light": 0.2, "other": 0.1}, 120)
+		assert.Assert(t, b.Press("web", "heavy") > 2, "%f", b.Press("web", "heavy"))
+		assert.Assert(t, b.Press("web", "light") < 1, "%f", b.Press("web", "light"))
+		assert.Assert(t, b.Press("web", "other") < 1, "%f", b.Press("web", "other"))
+	})
+	t.Run("one moment with one suspect is enough to be careful", func(t *testing.T) {
+		b := blamer.New()
+		b.Observe(blamer.Scene{
+			Serving: []blamer.Serving{{Image: "web", Tail: 90, Target: target}}, Filling: []blamer.Filling{{Image: "heavy", Share: 0.2}},
+		})
+		assert.Assert(t, b.Press("web", "heavy") > 1.5, "%f", b.Press("web", "heavy"))
+	})
+	t.Run("swings alone are not blamed on a trace of work", func(t *testing.T) {
+		b := blamer.New()
+		before := b.Press("web", "trace")
+		for range 50 {
+			b.Observe(blamer.Scene{
+				Serving: []blamer.Serving{{Image: "web", Tail: 16, Target: target}}, Filling: []blamer.Filling{{Image: "trace", Share: 0.01}},
+			})
+		}
+		assert.Equal(t, b.Press("web", "trace"), before)
+	})
+	t.Run("no estimate leaves its bounds", func(t *testing.T) {
+		b := blamer.New()
+		for i := range 200 {
+			b.Observe(blamer.Scene{
+				Serving: []blamer.Serving{{Image: "web", Tail: float64(1 + i%2*100000), Target: target}},
+				Filling: []blamer.Filling{{Image: "x", Share: 0.03}, {Image: "y", Share: 2}},
+			})
+			for _, image := range []string{"x", "y"} {
+				press := b.Press("web", image)
+				assert.Assert(t, press >= 0 && press <= 12, "%f", press)
+			}
+		}
+	})
+	t.Run("estimates travel", func(t *testing.T) {
+		a, b := blamer.New(), blamer.New()
+		play(a, map[string]float64{"heavy": 3}, 60)
+		b.Adopt(a.Pairs(func(string) bool { return true }))
+		assert.Equal(t, a.Press("web", "heavy"), b.Press("web", "heavy"))
+		assert.DeepEqual(t, a.Pairs(func(s string) bool { return s == "none" }), []cowslipbend.Pair(nil))
+	})
+}
