intaker, elector: an entry that is cut off from the store hands submissions over

It now lets another entry store the flow, or refuses at once with when to come back; it is not ready while others reach the store, and an owner is replaced after 1.4 s without it (2.5 s before).

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -26,9 +26,10 @@
 	lookTime = 500 * cowslipbend.Millisecond
 	// silence is how long an owner may give no answer: three looks.
 	silence = 900 * cowslipbend.Millisecond
-	// cutOff is how long an owner may be without the store while this entry
-	// reaches it; commits and feeds touch the store at least once a second.
-	cutOff = 2500 * cowslipbend.Millisecond
+	// cutOff is how long an owner may be without the store; commits and feeds
+	// touch the store at least once a second. An entry that cannot reach the
+	// store either does not get as far as taking over.
+	cutOff = 1400 * cowslipbend.Millisecond
 	// turn is by how much the entries' attempts to take over are apart.
 	turn = 200 * cowslipbend.Millisecond
 	// enrolEvery is the pause after a failed attempt to write this entry's
@@ -88,6 +89,8 @@
 	// replaced.
 	heard cowslipbend.Time
 	lost  cowslipbend.Time
+	// reached is when the owner last told that it reaches the store.
+	reached cowslipbend.Time
 	done  chan struct{}
 }
 
@@ -241,6 +244,32 @@
 	return h
 }
 
+// Cut reports whether this entry has not heard the store for a while, and
+// names the entries that may reach it.
+func (e *Elector) Cut() (cut bool, peers []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.clock.Now().Sub(e.store.Heard()) <= cutOff {
+		return false, nil
+	}
+	for _, m := range e.members {
+		if m.ID != e.self.ID {
+			peers = append(peers, m.URL)
+		}
+	}
+	slices.Sort(peers)
+	return true, peers
+}
+
+// Others reports whether the store is known to answer others, or this entry
+// is cut off from all: callers are then better served elsewhere.
+func (e *Elector) Others() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	return now.Sub(e.reached) < cutOff || (e.current == nil && now.Sub(e.heard) > silence)
+}
+
 // Leave makes this entry one that does not take over, and that others replace.
 func (e *Elector) Leave() {
 	e.mu.Lock()
@@ -294,11 +323,14 @@
 		why = "owner has restarted"
 	case h.Leaving:
 		why = "owner is leaving"
-	case h.Store > cutOff && now.Sub(e.store.Heard()) < cutOff/2:
+	case h.Store > cutOff:
 		why = "owner cannot reach the store"
 	}
 	if err == nil {
 		e.heard = now
+		if h.Store <= cutOff {
+			e.reached = now
+		}
 	}
 	if why == "" {
 		e.lost = 0
--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -130,6 +130,9 @@
 	if e.ruler.Rules() == nil {
 		return cowslipbend.Fail(cowslipbend.KindDown, "no configuration is in force", "wait for the store")
 	}
+	if cut, _ := e.elector.Cut(); cut && e.elector.Others() {
+		return cowslipbend.Fail(cowslipbend.KindDown, "entry is cut off from the store, others are not", "send callers to another entry")
+	}
 	return nil
 }
 
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -21,8 +21,12 @@
 	pathWaiting   = "/flow/waiting"
 	pathAccepted  = "/flow/accepted"
 	pathCancelled = "/flow/cancelled"
+	pathStore     = "/flow/store"
 )
 
+// handTime bounds a submission that another entry stores.
+const handTime = 700 * cowslipbend.Millisecond
+
 // ownerTime bounds a call to the owner, which answers from memory.
 const ownerTime = 400 * cowslipbend.Millisecond
 
@@ -32,6 +36,9 @@
 	Conductor() *conductor.Conductor
 	// Owner returns the URL of the owner, or nothing.
 	Owner() string
+	// Cut reports whether this entry is cut off from the store, and names the
+	// entries that may not be.
+	Cut() (cut bool, peers []string)
 }
 
 // Intaker is a cowslipbend.Desk.
@@ -78,7 +85,7 @@
 // Submit stores a flow and tells the owner.
 func (i *Intaker) Submit(ctx context.Context, f *cowslipbend.Flow) error {
 	f.At = i.feed.Now()
-	err := i.store(ctx, f)
+	err := i.accept(ctx, f)
 	i.log.Info("submit", "flow", f.ID, "queue", f.Queue, "steps", len(f.Steps), "outcome", outcome(err), "error", err)
 	if err != nil {
 		return err
@@ -90,6 +97,38 @@
 	return nil
 }
 
+// accept stores a flow, here or at an entry that reaches the store. An entry
+// that is cut off does not try by itself: a try without an answer could not be
+// refused any more, while a caller that is refused at once goes to another
+// entry.
+func (i *Intaker) accept(ctx context.Context, f *cowslipbend.Flow) error {
+	cut, peers := i.owners.Cut()
+	if !cut {
+		return i.store(ctx, f)
+	}
+	return i.handOver(ctx, f, peers)
+}
+
+// handOver has other entries store a flow, one after the other.
+func (i *Intaker) handOver(ctx context.Context, f *cowslipbend.Flow, peers []string) error {
+	unknown := false
+	for _, url := range peers {
+		err := i.caller.Call(ctx, url+pathStore, f, nil, handTime)
+		switch cowslipbend.KindOf(err) {
+		case "":
+			return nil
+		case cowslipbend.KindUnknown:
+			unknown = true
+		default:
+			i.log.Debug("flow was not taken over", "flow", f.ID, "entry", url, "error", err)
+		}
+	}
+	if unknown {
+		return cowslipbend.Fail(cowslipbend.KindUnknown, "another entry may have stored the flow", "submit it again with the same id")
+	}
+	return &cowslipbend.Error{Kind: cowslipbend.KindDown, What: "no entry reaches the store", Remedy: "submit it again later", After: cowslipbend.Second}
+}
+
 func outcome(err error) string {
 	if err == nil {
 		return "accepted"
@@ -278,6 +317,21 @@
 		}
 		return struct{}{}, nil
 	})
+	caller.Handle(mux, pathStore, func(ctx context.Context, f *cowslipbend.Flow) (struct{}, error) {
+		if cut, _ := i.owners.Cut(); cut {
+			return struct{}{}, cowslipbend.Fail(cowslipbend.KindDown, "store is out of reach here too", "try another entry")
+		}
+		if err := f.Check(); err != nil {
+			return struct{}{}, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, (handTime - retryPause).Duration())
+		defer cancel()
+		err := i.store(ctx, f)
+		if err == nil {
+			i.accepted(f)
+		}
+		return struct{}{}, err
+	})
 	caller.Handle(mux, pathCancelled, func(_ context.Context, q *question) (struct{}, error) {
 		if c := i.owners.Conductor(); c != nil {
 			c.Cancelled(q.Flow)
--- a/intaker/store.go
+++ b/intaker/store.go
@@ -24,6 +24,7 @@
 // pending is a submission that waits to be stored.
 type pending struct {
 	ctx   context.Context
+	flow  *cowslipbend.Flow
 	key   string
 	value []byte
 	done  chan error
@@ -36,7 +37,7 @@
 	if err != nil {
 		return cowslipbend.AsError(err)
 	}
-	p := &pending{ctx: ctx, key: conductor.WorkKey(f.ID), value: value, done: make(chan error, 1)}
+	p := &pending{ctx: ctx, flow: f, key: conductor.WorkKey(f.ID), value: value, done: make(chan error, 1)}
 	if !i.ring.Offer(p) {
 		return &cowslipbend.Error{Kind: cowslipbend.KindBusy, What: "too many submissions wait for the store", Remedy: "submit it again later", After: cowslipbend.Second}
 	}
@@ -115,6 +116,12 @@
 		default:
 			return err
 		}
+		if cut, peers := i.owners.Cut(); cut && len(peers) > 0 {
+			// An entry that reaches the store settles what became of the flow.
+			if i.handOver(p.ctx, p.flow, peers) == nil {
+				return nil
+			}
+		}
 		select {
 		case <-p.ctx.Done():
 			if unknown {
