--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -32,9 +32,10 @@
 	// four seconds, and no longer, as the work of a host that was lost waits
 	// for it to lapse.
 	longestLease = 6 * cowslipbend.Second
-	// unconfirmed is how long an owner grants leases without the store:
-	// longer than the outages that are to lose no work.
-	unconfirmed = 10 * cowslipbend.Second
+	// unconfirmed is how long an owner grants leases without the store. With a
+	// lease on top, work survives an outage of nine seconds; a successor waits
+	// for as long before it gives up what runs on a host that it cannot reach.
+	unconfirmed = 4 * cowslipbend.Second
 	// balancerDelay is how long the balancer takes to notice that an entry is
 	// not ready: two looks a second apart, and one more for good measure.
 	balancerDelay = 2500 * cowslipbend.Millisecond
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -18,7 +18,6 @@
 func (p *Planner) Decide(now, shared, wall cowslipbend.Time) []Parcel {
 	p.Tell(shared)
 	p.Lapse(now)
-	p.sweep(now)
 	var ready []*flow
 	for _, f := range p.live {
 		if f.def.Rounds > 0 && f.due(wall) {
@@ -30,10 +29,12 @@
 	}
 	p.order(ready, shared)
 	hosts := p.byService(now)
+	p.evacuate(hosts, now)
 	p.move(hosts, now)
 	for _, f := range ready {
 		p.placeFlow(f, hosts[p.policy(f).Service], now)
 	}
+	p.sweep(now)
 	p.introduce()
 	for _, h := range p.hosts {
 		h.decided = h.ends
--- a/planner/move.go
+++ b/planner/move.go
@@ -60,3 +60,40 @@
 	best := p.choose(hosts, def, key, "")
 	return best != nil && best != than && p.pressure(best, def)+betterWeight < p.pressure(than, def)
 }
+
+// evacuate stops runs on hosts that drain, if another host has room for them:
+// lasting ones at once, others if they would not end in the time that is left.
+func (p *Planner) evacuate(hosts map[cowslipbend.ServiceID][]*host, now cowslipbend.Time) {
+	moves := 0
+	for _, h := range p.hosts {
+		if !h.known || !h.spec.Draining {
+			continue
+		}
+		for ref, pl := range h.runs {
+			if moves >= maxMoves {
+				return
+			}
+			if pl.def == nil || pl.def.Gang || pl.moving || !pl.confirmed || p.endsInTime(h, ref, pl, now) {
+				continue
+			}
+			if p.choose(hosts[h.spec.Service], pl.def, keyOf(ref.Task), "") != nil {
+				pl.moving = true
+				moves++
+			}
+		}
+	}
+}
+
+// endsInTime reports whether a run will probably end before its host leaves.
+func (p *Planner) endsInTime(h *host, ref cowslipbend.RunRef, pl *place, now cowslipbend.Time) bool {
+	f := p.flows[ref.Task.Job]
+	if pl.def.Lasting || f == nil {
+		return false
+	}
+	t := f.task(ref.Task)
+	if t == nil || pl.percent <= 0 {
+		return pl.def.Length <= h.spec.Left
+	}
+	gone := now.Sub(t.since)
+	return gone*cowslipbend.Span(100-pl.percent)/cowslipbend.Span(pl.percent) <= h.spec.Left
+}
