--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -109,24 +109,28 @@
 	return i.handOver(ctx, f, peers)
 }
 
-// handOver has other entries store a flow, one after the other.
+// handOver asks all other entries at once to store a flow; it is the same flow
+// however many of them do.
 func (i *Intaker) handOver(ctx context.Context, f *cowslipbend.Flow, peers []string) error {
-	unknown := false
+	results := make(chan error, len(peers))
 	for _, url := range peers {
-		err := i.caller.Call(ctx, url+pathStore, f, nil, handTime)
-		switch cowslipbend.KindOf(err) {
-		case "":
+		i.group.Go(func() error {
+			results <- i.caller.Call(ctx, url+pathStore, f, nil, handTime)
+			return nil
+		})
+	}
+	unknown := false
+	for range peers {
+		err := <-results
+		if err == nil {
 			return nil
-		case cowslipbend.KindUnknown:
-			unknown = true
-		default:
-			i.log.Debug("flow was not taken over", "flow", f.ID, "entry", url, "error", err)
 		}
+		unknown = unknown || cowslipbend.KindOf(err) != cowslipbend.KindDown
 	}
 	if unknown {
 		return cowslipbend.Fail(cowslipbend.KindUnknown, "another entry may have stored the flow", "submit it again with the same id")
 	}
-	return &cowslipbend.Error{Kind: cowslipbend.KindDown, What: "no entry reaches the store", Remedy: "submit it again later", After: cowslipbend.Second}
+	return unavailable(nil)
 }
 
 func outcome(err error) string {
--- a/intaker/store.go
+++ b/intaker/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/conductor"
@@ -16,6 +17,9 @@
 	// maxGroupBytes bounds their content; a transaction holds 1 MB.
 	maxGroupBytes = 512 << 10
 	pendingRing   = 2048
+	// settleTime is how long a caller whose time is over still waits to learn
+	// whether its flow was stored.
+	settleTime = 100 * cowslipbend.Millisecond
 	// retryPause is the pause between two tries while the store does not
 	// answer.
 	retryPause = 100 * cowslipbend.Millisecond
@@ -28,6 +32,9 @@
 	key   string
 	value []byte
 	done  chan error
+	// taken is set by who takes the submission: the writer, or its caller to
+	// withdraw it.
+	taken atomic.Bool
 }
 
 // store waits until a submission is stored. A flow that is there already is
@@ -45,10 +52,25 @@
 	case err := <-p.done:
 		return err
 	case <-ctx.Done():
+	}
+	if p.taken.CompareAndSwap(false, true) {
+		return unavailable(ctx.Err())
+	}
+	select {
+	case err := <-p.done:
+		return err
+	case <-i.clock.After(settleTime):
 		return cowslipbend.Failf(cowslipbend.KindUnknown, ctx.Err(), "submit it again with the same id", "store gave no answer in time")
 	}
 }
 
+// unavailable refuses a submission that was certainly not stored.
+func unavailable(cause error) error {
+	return &cowslipbend.Error{
+		Kind: cowslipbend.KindDown, What: "store is unavailable", Remedy: "submit it again later", After: cowslipbend.Second, Cause: cause,
+	}
+}
+
 // write stores submissions in groups, one transaction after the other: what
 // arrives meanwhile makes the next group.
 func (i *Intaker) write(ctx context.Context) error {
@@ -57,7 +79,7 @@
 		case <-ctx.Done():
 			return nil
 		case first := <-i.ring.Items():
-			group := append([]*pending{first}, i.ring.Drain(maxGroup-1)...)
+			group := untaken(append([]*pending{first}, i.ring.Drain(maxGroup-1)...))
 			for len(group) > 0 {
 				n, size := 0, 0
 				for n < len(group) && (n == 0 || size+len(group[n].value) <= maxGroupBytes) {
@@ -71,6 +93,17 @@
 	}
 }
 
+// untaken takes those submissions that their callers have not withdrawn.
+func untaken(all []*pending) []*pending {
+	var group []*pending
+	for _, p := range all {
+		if p.taken.CompareAndSwap(false, true) {
+			group = append(group, p)
+		}
+	}
+	return group
+}
+
 // writeGroup stores a group; if one of them is there already, each goes alone.
 func (i *Intaker) writeGroup(ctx context.Context, group []*pending) {
 	var txn cowslipbend.Txn
@@ -116,20 +149,20 @@
 		default:
 			return err
 		}
-		if cut, peers := i.owners.Cut(); cut && len(peers) > 0 {
+		if cut, peers := i.owners.Cut(); cut {
 			// An entry that reaches the store settles what became of the flow.
-			if i.handOver(p.ctx, p.flow, peers) == nil {
-				return nil
+			handed := i.handOver(p.ctx, p.flow, peers)
+			if handed == nil || (!unknown && cowslipbend.KindOf(handed) == cowslipbend.KindDown) {
+				return handed
 			}
+			unknown = true
 		}
 		select {
 		case <-p.ctx.Done():
 			if unknown {
 				return cowslipbend.Failf(cowslipbend.KindUnknown, err, "submit it again with the same id", "flow may have been stored")
 			}
-			return &cowslipbend.Error{
-				Kind: cowslipbend.KindDown, What: "store is unavailable", Remedy: "submit it again later", After: cowslipbend.Second, Cause: err,
-			}
+			return unavailable(err)
 		case <-i.clock.After(retryPause):
 		}
 	}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -43,10 +43,11 @@
 	if err != nil {
 		return cowslipbend.Failf(cowslipbend.KindInvalid, err, "report this", "bad URL of a peer")
 	}
+	req, connected := dialer.Watch(req)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		c.http.CloseIdleConnections()
-		if dialer.Unsent(err) {
+		if !connected.Load() {
 			return cowslipbend.Failf(cowslipbend.KindDown, err, "look at the peer", "peer does not answer")
 		}
 		return cowslipbend.Failf(cowslipbend.KindUnknown, err, "ask again", "peer gave no answer")
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -16,6 +16,14 @@
 	// smooth is the weight of a new sample in the estimate of a serving task's
 	// own load.
 	smooth = 0.6
+	// patience is how many moments in a row a tail may be over its target until
+	// what presses on it stands still, and lastPatience until all that fills
+	// does, whatever the model says. Moments are half a second apart, and a
+	// task must not be over for four seconds.
+	patience     = 4
+	lastPatience = 6
+	// pressing is the press from which an image counts as the cause.
+	pressing = 0.15
 	// full is the pace of a run that is not slowed, in per cent.
 	full = 100
 	// step is the least change of a pace that is worth a call, in per cent.
@@ -37,18 +45,24 @@
 // Pacer holds what is known of one host's serving images.
 type Pacer struct {
 	model *blamer.Blamer
+	// over counts the moments in a row at which an image's tail was over its
+	// target.
+	over map[string]int
 	// own is the load of each serving image without what fills beside it.
 	own map[string]float64
 }
 
 // New returns a pacer that uses the model.
-func New(model *blamer.Blamer) *Pacer { return &Pacer{model: model, own: map[string]float64{}} }
+func New(model *blamer.Blamer) *Pacer {
+	return &Pacer{model: model, own: map[string]float64{}, over: map[string]int{}}
+}
 
 // Decide takes one moment and returns the runs whose pace changes. Runs that
 // press least on what serves beside them go first, so that little is held
 // back for a given relief.
 func (p *Pacer) Decide(serving []blamer.Serving, runs []Run) map[cowslipbend.RunRef]int {
 	p.model.Observe(blamer.Scene{Serving: serving, Filling: fillings(runs)})
+	p.count(serving)
 	left := p.left(serving, runs)
 	order := slices.Clone(runs)
 	slices.SortStableFunc(order, func(a, b Run) int { return cmp.Compare(p.pressure(a.Image, left), p.pressure(b.Image, left)) })
@@ -62,6 +76,26 @@
 	return changes
 }
 
+// count counts for how long tails have been over their targets.
+func (p *Pacer) count(serving []blamer.Serving) {
+	over := map[string]bool{}
+	for _, s := range serving {
+		if s.Target > 0 {
+			over[s.Image] = over[s.Image] || s.Tail > s.Target
+		}
+	}
+	for image := range p.over {
+		if !over[image] {
+			delete(p.over, image)
+		}
+	}
+	for image, is := range over {
+		if is {
+			p.over[image]++
+		}
+	}
+}
+
 func fillings(runs []Run) []blamer.Filling {
 	used := map[string]float64{}
 	for _, r := range runs {
@@ -121,6 +155,9 @@
 func (p *Pacer) allow(r Run, left map[string]float64) int {
 	part := 1.0
 	for image, room := range left {
+		if over := p.over[image]; over >= lastPatience || over >= patience && p.model.Press(image, r.Image) > pressing {
+			return 0
+		}
 		if press := p.model.Press(image, r.Image) * r.Share; press > 0 {
 			part = min(part, max(room, 0)/press)
 		}
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -109,7 +109,7 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(seed, 1))
 			h := &host{rnd: rnd, serving: []string{"web", "cache"}, presses: map[string]map[string]float64{"web": {}, "cache": {}}}
-			for i := range 4 {
+			for i := range 7 {
 				image := fmt.Sprintf("image%d", i)
 				h.runs = append(h.runs, run(i, image))
 				for _, name := range h.serving {
@@ -141,4 +141,19 @@
 		_, changed := changes[light.Ref]
 		assert.Assert(t, !changed, "%v", changes)
 	})
+	t.Run("what fills beside a tail that stays over its target stands still", func(t *testing.T) {
+		model := blamer.New()
+		p := pacer.New(model)
+		r := run(0, "light")
+		for moment := range 7 {
+			// The model is sure that the image does no harm.
+			model.Adopt([]cowslipbend.Pair{{Serving: "web", Filling: "light", Press: 0, Variance: 0}})
+			changes := p.Decide([]blamer.Serving{{Image: "web", Tail: target + 1, Target: target}}, []pacer.Run{r})
+			pace, changed := changes[r.Ref]
+			assert.Equal(t, changed, moment >= 5, "moment %d: %v", moment, changes)
+			assert.Equal(t, pace, 0)
+		}
+		changes := p.Decide([]blamer.Serving{{Image: "web", Tail: target / 2, Target: target}}, []pacer.Run{{Ref: r.Ref, Image: r.Image, Share: r.Share}})
+		assert.Equal(t, changes[r.Ref], 100)
+	})
 }
