stand: the programs on the platform against stand-ins of its store and runners

metastore and hostrunner speak the published protocol; field plays whole path, lost owner, lost answers, store outage and a runner that does not answer, and the runners note doubles.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/internal/crew"
 	"cowslipbend.dev/planner"
 )
 
@@ -77,7 +78,7 @@
 	forgotten []string
 
 	kicked chan struct{}
-	group  *errgroup.Group
+	crew   crew.Crew
 	done   chan struct{}
 }
 
@@ -106,13 +107,13 @@
 		return err
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	c.group = g
 	g.Go(func() error { return c.follow(ctx, version) })
 	g.Go(func() error {
 		c.greet(ctx)
 		return c.rounds(ctx)
 	})
 	err = g.Wait()
+	c.crew.End()
 	c.log.Info("conducts no more", "error", err)
 	return err
 }
--- /dev/null
+++ b/conductor/head_test.go
@@ -0,0 +1,99 @@
+package conductor_test
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/conductor"
+	"cowslipbend.dev/internal/keeper"
+	"cowslipbend.dev/timer"
+)
+
+// held keeps transactions back, as a store that carries them out late does.
+type held struct {
+	cowslipbend.Table
+	late []cowslipbend.Txn
+	hold bool
+}
+
+func (h *held) Commit(ctx context.Context, txn cowslipbend.Txn) (int64, error) {
+	if h.hold {
+		h.hold = false
+		h.late = append(h.late, txn)
+		return 0, cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "")
+	}
+	return h.Table.Commit(ctx, txn)
+}
+
+func put(key, value string) []cowslipbend.Put {
+	return []cowslipbend.Put{{Key: "run/" + key, Value: []byte(value)}}
+}
+
+func assertRow(t *testing.T, table cowslipbend.Table, key, want string) {
+	t.Helper()
+	row, err := table.Get(t.Context(), "run/"+key)
+	assert.NilError(t, err)
+	assert.Equal(t, string(row.Value), want)
+}
+
+func take(t *testing.T, table cowslipbend.Table) *conductor.Fence {
+	t.Helper()
+	f, err := conductor.Take(t.Context(), table, timer.Host{}, "http://e", "life")
+	assert.NilError(t, err)
+	return f
+}
+
+func TestFence(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		script []keeper.Fault
+	}{
+		{"an answer is lost", []keeper.Fault{keeper.LoseAnswer}},
+		{"a request is lost", []keeper.Fault{keeper.LoseRequest}},
+		{"the store refuses", []keeper.Fault{keeper.Refuse, keeper.Refuse}},
+		{"both are lost", []keeper.Fault{keeper.LoseRequest, keeper.LoseAnswer, keeper.LoseAnswer}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := &keeper.Table{}
+			faults := keeper.NewFaults(1, timer.Host{})
+			f := take(t, faults.Table(table))
+			faults.Next(c.script...)
+			_, err := f.Commit(t.Context(), put("a", "1"), nil)
+			assert.NilError(t, err)
+			_, err = f.Commit(t.Context(), put("b", "2"), nil)
+			assert.NilError(t, err)
+			assertRow(t, table, "a", "1")
+			assertRow(t, table, "b", "2")
+		})
+	}
+	t.Run("an owner that was replaced changes nothing", func(t *testing.T) {
+		table := &keeper.Table{}
+		old := take(t, table)
+		assert.Equal(t, take(t, table).Epoch(), old.Epoch()+1)
+		_, err := old.Commit(t.Context(), put("a", "1"), nil)
+		assert.Equal(t, cowslipbend.KindOf(err), cowslipbend.KindConflict)
+		assertRow(t, table, "a", "")
+	})
+	t.Run("a commit that is carried out late has no effect", func(t *testing.T) {
+		table := &held{Table: &keeper.Table{}}
+		f := take(t, table)
+		table.hold = true
+		_, err := f.Commit(t.Context(), put("a", "1"), nil)
+		assert.NilError(t, err)
+		_, err = f.Commit(t.Context(), put("a", "2"), nil)
+		assert.NilError(t, err)
+		_, err = table.Commit(t.Context(), table.late[0])
+		assert.Equal(t, cowslipbend.KindOf(err), cowslipbend.KindConflict)
+		assertRow(t, table, "a", "2")
+	})
+	t.Run("two entries that take over at the same time", func(t *testing.T) {
+		table := &keeper.Table{}
+		faults := keeper.NewFaults(1, timer.Host{})
+		faults.Next(keeper.LoseAnswer)
+		f := take(t, faults.Table(table))
+		assert.Equal(t, f.Epoch(), cowslipbend.Epoch(1))
+	})
+}
--- a/conductor/round.go
+++ b/conductor/round.go
@@ -60,10 +60,7 @@
 	c.mu.Unlock()
 	close(w.settled)
 	for _, p := range w.parcels {
-		c.group.Go(func() error {
-			c.send(ctx, p)
-			return nil
-		})
+		c.crew.Go(func() { c.send(ctx, p) })
 	}
 	c.forget(ctx, w.expired)
 	return nil
@@ -164,10 +161,7 @@
 		return
 	}
 	for _, url := range urls {
-		c.group.Go(func() error {
-			c.send(ctx, planner.Parcel{URL: url, Orders: cowslipbend.HostOrders{Epoch: c.fence.Epoch()}})
-			return nil
-		})
+		c.crew.Go(func() { c.send(ctx, planner.Parcel{URL: url, Orders: cowslipbend.HostOrders{Epoch: c.fence.Epoch()}}) })
 	}
 }
 
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -91,7 +91,7 @@
 	lost  cowslipbend.Time
 	// reached is when the owner last told that it reaches the store.
 	reached cowslipbend.Time
-	done  chan struct{}
+	done    chan struct{}
 }
 
 // New returns an elector. Conduct makes the conductor of a fence.
--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -56,11 +56,12 @@
 	intaker  *intaker.Intaker
 	leaving  atomic.Bool
 	servers  []*server.Server
+	killed   chan struct{}
 }
 
 // New opens the listeners of an entry.
 func New(s platform.Settings, clock cowslipbend.Clock, log hclog.Logger) (*Entry, error) {
-	e := &Entry{settings: s, clock: clock, log: log, store: platform.NewStore(s.Store, clock), caller: caller.New()}
+	e := &Entry{settings: s, clock: clock, log: log, store: platform.NewStore(s.Store, clock), caller: caller.New(), killed: make(chan struct{})}
 	e.ruler = ruler.New(ruler.Source{Feed: e.store, Table: platform.RulesTable, Key: platform.RulesKey, Decode: platform.DecodeRules}, clock, log.Named("ruler"))
 	url := "http://" + s.Internal()
 	life := cowslipbend.Incarnation(cowslipbend.DrawID())
@@ -151,6 +152,9 @@
 	g.Go(func() error {
 		select {
 		case <-work.Done():
+		case <-e.killed:
+			stop()
+			return nil
 		case <-ctx.Done():
 			e.drain(work)
 		}
@@ -183,3 +187,15 @@
 	e.caller.Close()
 	e.store.Close()
 }
+
+// Kill stops the entry at once, as a crash would. It must be called once. For
+// tests.
+func (e *Entry) Kill() {
+	close(e.killed)
+	for _, s := range e.servers {
+		s.Close()
+	}
+}
+
+// Conducts reports whether this entry owns the flows.
+func (e *Entry) Conducts() bool { return e.elector.Conductor() != nil }
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -6,11 +6,11 @@
 	"net/http"
 
 	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sync/errgroup"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/conductor"
 	"cowslipbend.dev/internal/caller"
+	"cowslipbend.dev/internal/crew"
 	"cowslipbend.dev/internal/ring"
 	"cowslipbend.dev/planner"
 )
@@ -51,7 +51,7 @@
 	clock  cowslipbend.Clock
 	log    hclog.Logger
 	ring   *ring.Ring[*pending]
-	group  errgroup.Group
+	crew   crew.Crew
 	// ready returns why callers should go elsewhere.
 	ready func() error
 	done  chan struct{}
@@ -72,7 +72,7 @@
 func (i *Intaker) Run(ctx context.Context) error {
 	defer close(i.done)
 	err := i.write(ctx)
-	_ = i.group.Wait() // Its functions return no errors.
+	i.crew.End()
 	return err
 }
 
@@ -90,10 +90,7 @@
 	if err != nil {
 		return err
 	}
-	i.group.Go(func() error {
-		i.accepted(f)
-		return nil
-	})
+	i.crew.Go(func() { i.accepted(f) })
 	return nil
 }
 
@@ -114,10 +111,9 @@
 func (i *Intaker) handOver(ctx context.Context, f *cowslipbend.Flow, peers []string) error {
 	results := make(chan error, len(peers))
 	for _, url := range peers {
-		i.group.Go(func() error {
-			results <- i.caller.Call(ctx, url+pathStore, f, nil, handTime)
-			return nil
-		})
+		if !i.crew.Go(func() { results <- i.caller.Call(ctx, url+pathStore, f, nil, handTime) }) {
+			return cowslipbend.Fail(cowslipbend.KindLeaving, "entry is shutting down", "submit it again")
+		}
 	}
 	unknown := false
 	for range peers {
@@ -254,13 +250,12 @@
 	if err != nil {
 		return err
 	}
-	i.group.Go(func() error {
+	i.crew.Go(func() {
 		if c := i.owners.Conductor(); c != nil {
 			c.Cancelled(id)
-			return nil
+			return
 		}
 		i.tell(pathCancelled, question{Flow: id})
-		return nil
 	})
 	return nil
 }
--- a/intaker/store.go
+++ b/intaker/store.go
@@ -120,11 +120,9 @@
 		finish(group, nil)
 		return
 	}
+	unknown := cowslipbend.KindOf(err) == cowslipbend.KindUnknown
 	for _, p := range group {
-		i.group.Go(func() error {
-			p.done <- i.writeAlone(ctx, p, cowslipbend.KindOf(err) == cowslipbend.KindUnknown)
-			return nil
-		})
+		i.crew.Go(func() { p.done <- i.writeAlone(ctx, p, unknown) })
 	}
 }
 
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -12,7 +12,7 @@
 const (
 	// aim is the tail that is aimed at, as a share of the target. The rest is
 	// for swings within the half second that a tail and a change of pace take.
-	aim = 0.95
+	aim = 0.9
 	// smooth is the weight of a new sample in the estimate of a serving task's
 	// own load.
 	smooth = 0.6
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -31,7 +31,7 @@
 }
 
 // own is the load of a serving image without what fills.
-func (h *host) own(image int, moment int) float64 {
+func (h *host) own(image, moment int) float64 {
 	return 0.42 + 0.2*math.Sin(float64(moment)/float64(4+image)+float64(image))
 }
 
--- a/planner/flow.go
+++ b/planner/flow.go
@@ -108,12 +108,11 @@
 }
 
 // open begins a round.
-func (f *flow) open(number int) *round {
+func (f *flow) open(number int) {
 	r := newRound(f.def, number)
 	r.count()
 	f.rounds[number] = r
 	f.next = max(f.next, number+1)
-	return r
 }
 
 // due opens the rounds that have come due at the wall time.
--- a/planner/host.go
+++ b/planner/host.go
@@ -70,7 +70,6 @@
 	steps   map[stepKey]int
 	// full is until when it is passed over.
 	full cowslipbend.Time
-	past history
 	// observed is when its tails were last looked at.
 	observed cowslipbend.Time
 	// images holds the serving runs by image, fills the processors that
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -53,9 +53,8 @@
 	live map[cowslipbend.JobID]*flow
 	// shared is the store's clock as it was last told.
 	shared cowslipbend.Time
-	// lengths learns how long tasks take against their estimates.
-	lengths lengths
-	blame   *blamer.Blamer
+	// blame learns how filling images press on serving ones.
+	blame *blamer.Blamer
 	// joined is set when the agents have changed since Agents was last called.
 	joined bool
 	// outbox gathers the orders of a decision.
@@ -78,7 +77,7 @@
 	return &Planner{
 		opts: opts, epoch: epoch, flows: map[cowslipbend.JobID]*flow{}, early: map[cowslipbend.JobID]bool{},
 		hosts: map[cowslipbend.Incarnation]*host{}, agents: map[string]*agent{}, dirty: map[cowslipbend.JobID]bool{},
-		live: map[cowslipbend.JobID]*flow{}, lengths: lengths{}, blame: blamer.New(), outbox: map[*host]*cowslipbend.HostOrders{},
+		live: map[cowslipbend.JobID]*flow{}, blame: blamer.New(), outbox: map[*host]*cowslipbend.HostOrders{},
 	}
 }
 
@@ -207,10 +206,7 @@
 
 // done marks the task as complete, or its whole gang.
 func (p *Planner) done(f *flow, step *step, t *task, ref cowslipbend.RunRef) {
-	p.lengths.learn(f, step, t)
-	if !step.def.Gang {
-		t.phase = phaseDone
-	}
+	t.phase = phaseDone
 	if step.def.Gang {
 		for i := range step.tasks {
 			step.tasks[i].phase = phaseDone
--- a/planner/report.go
+++ b/planner/report.go
@@ -112,7 +112,6 @@
 			continue
 		}
 		h.ends = e.Number
-		h.judge(p, e)
 		h.drop(e.RunRef)
 		p.end(e.RunRef, e.How, e.Saved)
 	}
@@ -184,7 +183,6 @@
 		p.confirm(res.RunRef, pl)
 	case cowslipbend.Refused:
 		h.full = now.Add(fullTime)
-		h.refused(p, res, now)
 		fallthrough
 	case cowslipbend.Absent:
 		h.drop(res.RunRef)
--- /dev/null
+++ b/stand/field/field_test.go
@@ -0,0 +1,287 @@
+package field_test
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev"
+	agent "cowslipbend.dev/agent/joiner"
+	entry "cowslipbend.dev/entry/joiner"
+	"cowslipbend.dev/internal/server"
+	"cowslipbend.dev/platform"
+	"cowslipbend.dev/stand/hostrunner"
+	"cowslipbend.dev/stand/metastore"
+	"cowslipbend.dev/timer"
+)
+
+const (
+	rules = `{"version":3,"routes":[{"name":"q1","host":"jobs.example","path_prefix":"/run/","service":"ledger",` +
+		`"target_latency_ms":250,"max_attempts":3,"stretch":1.5}],"services":[{"name":"ledger","rejects_overload":true}],` +
+		`"limits":{"max_body_bytes":65536}}`
+	work = 60 * cowslipbend.Millisecond
+	// patience bounds what a test waits for; nothing asserts a time.
+	patience = 60 * time.Second
+)
+
+// field is a platform with two entries and three hosts.
+type field struct {
+	t       *testing.T
+	port    int
+	store   *metastore.Store
+	pool    *hostrunner.Pool
+	runners []*hostrunner.Runner
+	entries []*entry.Entry
+	fronts  []string
+}
+
+// freePort returns a port that is free on loopback.
+func freePort(t *testing.T) int {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	return ln.Addr().(*net.TCPAddr).Port
+}
+
+// serve runs a handler at the address until the test ends.
+func serve(t *testing.T, addr string, h http.Handler) {
+	t.Helper()
+	s, err := server.Listen(addr, h)
+	assert.NilError(t, err)
+	var g errgroup.Group
+	g.Go(s.Run)
+	t.Cleanup(func() {
+		s.Close()
+		assert.NilError(t, g.Wait())
+	})
+}
+
+func newField(t *testing.T) *field {
+	t.Helper()
+	f := &field{t: t, port: freePort(t), store: metastore.New(), pool: hostrunner.NewPool()}
+	_, err := f.store.Table().Commit(t.Context(), cowslipbend.Txn{Puts: []cowslipbend.Put{{Key: "op/config", Value: []byte(rules)}}})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	storeAddr := fmt.Sprintf("127.0.3.1:%d", f.port)
+	serve(t, storeAddr, f.store.Handler())
+	bounds := platform.Bounds{Hold: 6 * cowslipbend.Second, Keep: cowslipbend.Minute}
+	for i := range 2 {
+		ip := fmt.Sprintf("127.0.1.%d", i+1)
+		f.fronts = append(f.fronts, fmt.Sprintf("%s:%d", ip, f.port+1))
+		e, err := entry.New(platform.Settings{
+			Node: fmt.Sprintf("e%d", i), IP: ip, Port: f.port, Front: f.fronts[i], Ready: fmt.Sprintf("%s:%d", ip, f.port+2), Store: storeAddr, Bounds: bounds,
+		}, timer.Host{}, hclog.NewNullLogger())
+		assert.NilError(t, err)
+		f.entries = append(f.entries, e)
+		g.Go(func() error { return e.Run(ctx) })
+	}
+	for i := range 3 {
+		ip := fmt.Sprintf("127.0.2.%d", i+1)
+		app, control := fmt.Sprintf("%s:%d", ip, f.port+3), fmt.Sprintf("%s:%d", ip, f.port+4)
+		runner := hostrunner.New(f.pool, fmt.Sprintf("i-%d", i), work)
+		f.runners = append(f.runners, runner)
+		serve(t, app, runner.Handler())
+		a, err := agent.New(platform.Settings{
+			Node: fmt.Sprintf("a%d", i), IP: ip, Port: f.port, Control: control, Runner: app, Store: storeAddr,
+			Seeds: []string{"127.0.1.1"}, Bounds: bounds,
+		}, timer.Host{}, hclog.NewNullLogger())
+		assert.NilError(t, err)
+		g.Go(func() error { return a.Run(ctx) })
+		g.Go(func() error { return beats(ctx, runner, control) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, g.Wait())
+		assert.DeepEqual(t, f.pool.Faults(), []string(nil))
+	})
+	return f
+}
+
+func beats(ctx context.Context, r *hostrunner.Runner, control string) error {
+	return timer.Every(ctx, timer.Host{}, 200, func(context.Context) error {
+		_ = r.Beat(control, "ledger", false) // The agent may be gone already.
+		return nil
+	})
+}
+
+// call sends a request to an entry and returns status and body.
+func (f *field) call(front int, method, path, body string) (int, string) {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+f.fronts[front]+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	req.Host = "jobs.example"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(f.t, err)
+	return resp.StatusCode, string(data)
+}
+
+// until repeats until the condition holds.
+func (f *field) until(what string, holds func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	f.t.Fatal("never: " + what)
+}
+
+func id(n int) string { return fmt.Sprintf("%016x", n) }
+
+// submit hands a job in, again and again until it is accepted.
+func (f *field) submit(front, n int, steps string) {
+	f.t.Helper()
+	spec := "x"
+	if steps == lasting {
+		spec = hostrunner.Lasting
+	}
+	f.until("accepted", func() bool {
+		code, _ := f.call(front, http.MethodPost, "/run/"+id(n), `{"spec":"`+spec+`","steps":[`+steps+`]}`)
+		return code == http.StatusOK
+	})
+}
+
+func (f *field) becomes(front, n int, want string) {
+	f.t.Helper()
+	f.until(id(n)+" "+want, func() bool {
+		code, body := f.call(front, http.MethodGet, "/run/"+id(n), "")
+		var state struct{ State string }
+		return code == http.StatusOK && json.Unmarshal([]byte(body), &state) == nil && state.State == want
+	})
+}
+
+const (
+	twoSteps = `{"count":5,"cpu":500,"mem_mb":64,"estimate_ms":60},{"count":3,"cpu":1000,"mem_mb":64,"estimate_ms":60,"after":[0]}`
+	lasting  = `{"count":2,"cpu":500,"mem_mb":64,"perpetual":true}`
+)
+
+func TestWholePath(t *testing.T) {
+	f := newField(t)
+	t.Run("jobs run to their end, whichever entry is asked", func(*testing.T) {
+		f.submit(0, 1, twoSteps)
+		f.submit(1, 2, twoSteps)
+		for n := 1; n <= 2; n++ {
+			f.becomes(0, n, "done")
+			f.becomes(1, n, "done")
+		}
+	})
+	t.Run("a repeated submission is the same job", func(t *testing.T) {
+		before := f.pool.Starts()
+		f.submit(1, 1, twoSteps)
+		f.becomes(1, 1, "done")
+		assert.Equal(t, f.pool.Starts(), before)
+	})
+	t.Run("a cancelled job stops", func(t *testing.T) {
+		f.submit(0, 3, lasting)
+		f.becomes(0, 3, "running")
+		code, _ := f.call(1, http.MethodDelete, "/run/"+id(3), "")
+		assert.Equal(t, code, http.StatusOK)
+		f.becomes(1, 3, "cancelled")
+	})
+	t.Run("unknown jobs, queues and bad bodies get clear answers", func(t *testing.T) {
+		for _, c := range []struct {
+			method, path, body string
+			want               int
+		}{
+			{http.MethodGet, "/run/" + id(99), "", http.StatusGone},
+			{http.MethodDelete, "/run/" + id(99), "", http.StatusGone},
+			{http.MethodPost, "/none/" + id(1), "{}", http.StatusNotFound},
+			{http.MethodPost, "/run/short", "{}", http.StatusBadRequest},
+			{http.MethodPost, "/run/" + id(98), "{", http.StatusBadRequest},
+			{http.MethodPost, "/run/" + id(98), `{"steps":[]}`, http.StatusBadRequest},
+			{http.MethodPost, "/run/" + id(98), `{"steps":[{"count":1,"after":[4]}]}`, http.StatusBadRequest},
+			{http.MethodPost, "/run/" + id(98), `{"spec":"` + strings.Repeat("x", 70000) + `"}`, http.StatusRequestEntityTooLarge},
+			{http.MethodPut, "/run/" + id(1), "", http.StatusMethodNotAllowed},
+			{http.MethodGet, "/run/", "", http.StatusOK},
+		} {
+			code, body := f.call(0, c.method, c.path, c.body)
+			assert.Equal(t, code, c.want, "%s %s: %s", c.method, c.path, body)
+		}
+	})
+	t.Run("foreign rows are passed over", func(t *testing.T) {
+		_, err := f.store.Table().Commit(t.Context(), cowslipbend.Txn{Puts: []cowslipbend.Put{
+			{Key: "work/foreign", Value: []byte("{")},
+			{Key: "entry/foreign", Value: []byte(base64.StdEncoding.EncodeToString([]byte("x")))},
+			{Key: "op/other", Value: []byte("{}")},
+		}})
+		assert.NilError(t, err)
+		f.submit(0, 4, twoSteps)
+		f.becomes(0, 4, "done")
+	})
+}
+
+func TestLostOwner(t *testing.T) {
+	f := newField(t)
+	f.submit(0, 1, lasting)
+	f.becomes(0, 1, "running")
+	for n := 2; n < 8; n++ {
+		f.submit(n%2, n, twoSteps)
+	}
+	owner := 0
+	if f.entries[1].Conducts() {
+		owner = 1
+	}
+	f.entries[owner].Kill()
+	for n := 2; n < 8; n++ {
+		f.becomes(1-owner, n, "done")
+	}
+	f.becomes(1-owner, 1, "running")
+}
+
+func TestLostAnswers(t *testing.T) {
+	f := newField(t)
+	f.submit(0, 1, twoSteps)
+	f.becomes(0, 1, "done")
+	f.store.Faults().Lose(0.3)
+	for n := 2; n < 6; n++ {
+		f.submit(n%2, n, twoSteps)
+	}
+	for n := 2; n < 6; n++ {
+		f.becomes(n%2, n, "done")
+	}
+	f.store.Faults().Lose(0)
+}
+
+func TestStoreDown(t *testing.T) {
+	f := newField(t)
+	f.submit(0, 1, lasting)
+	f.becomes(0, 1, "running")
+	before := f.pool.Starts()
+	f.store.Faults().Down(true)
+	code, body := f.call(0, http.MethodPost, "/run/"+id(2), `{"steps":[`+twoSteps+`]}`)
+	assert.Equal(t, code, http.StatusServiceUnavailable, "%s", body)
+	f.store.Faults().Down(false)
+	f.submit(0, 2, twoSteps)
+	f.becomes(0, 2, "done")
+	assert.Equal(t, f.pool.Starts(), before+8, "no lasting task was lost")
+}
+
+func TestDeafRunner(t *testing.T) {
+	f := newField(t)
+	f.submit(0, 1, twoSteps)
+	f.becomes(0, 1, "done")
+	f.runners[1].Deafen(true)
+	f.submit(0, 2, twoSteps)
+	f.becomes(0, 2, "done")
+	f.runners[1].Deafen(false)
+	f.submit(0, 3, twoSteps)
+	f.becomes(0, 3, "done")
+}
--- a/warden/orders.go
+++ b/warden/orders.go
@@ -76,7 +76,7 @@
 	var wait sync.WaitGroup
 	for i := range o.Starts {
 		wait.Add(1)
-		w.spawn(func(ctx context.Context) {
+		began := w.spawn(func(ctx context.Context) {
 			defer wait.Done()
 			if res := w.start(ctx, &o.Starts[i], o.Epoch, life); res != nil {
 				mu.Lock()
@@ -84,6 +84,9 @@
 				mu.Unlock()
 			}
 		})
+		if !began {
+			wait.Done()
+		}
 	}
 	w.stops(o, life)
 	wait.Wait()
--- a/warden/warden.go
+++ b/warden/warden.go
@@ -13,6 +13,7 @@
 	"cowslipbend.dev/blamer"
 	"cowslipbend.dev/conductor"
 	"cowslipbend.dev/internal/caller"
+	"cowslipbend.dev/internal/crew"
 	"cowslipbend.dev/pacer"
 )
 
@@ -128,8 +129,9 @@
 
 	kicked chan struct{}
 	// spawn runs a function beside the others until Run ends, whatever becomes
-	// of the call that asked for it.
-	spawn func(func(context.Context))
+	// of the call that asked for it; it reports false once Run has ended.
+	spawn func(func(context.Context)) bool
+	crew  crew.Crew
 	ready chan struct{}
 	done  chan struct{}
 }
@@ -151,12 +153,8 @@
 func (w *Warden) Run(ctx context.Context) error {
 	defer close(w.done)
 	g, ctx := errgroup.WithContext(ctx)
-	w.spawn = func(f func(context.Context)) {
-		g.Go(func() error {
-			f(ctx)
-			return nil
-		})
-	}
+	w.spawn = func(f func(context.Context)) bool { return w.crew.Go(func() { f(ctx) }) }
+	defer w.crew.End()
 	close(w.ready)
 	g.Go(func() error { return w.holds(ctx) })
 	g.Go(func() error { return w.reports(ctx) })
--- /dev/null
+++ b/warden/warden_test.go
@@ -0,0 +1,281 @@
+package warden_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/conductor"
+	"cowslipbend.dev/internal/caller"
+	"cowslipbend.dev/timer"
+	"cowslipbend.dev/warden"
+)
+
+const (
+	epoch = 3
+	life  = cowslipbend.Incarnation("r@1")
+)
+
+// runner is a runner that answers as it is told.
+type runner struct {
+	mu      sync.Mutex
+	clock   cowslipbend.Clock
+	running []cowslipbend.RunState
+	ends    []cowslipbend.RunEnd
+	// lags is set while lists lack what was started.
+	lags bool
+	// starts is what a start returns, holds the error of holds.
+	starts error
+	holds  error
+	// until is the last lease, stops the runs that were stopped.
+	until cowslipbend.Time
+	stops []cowslipbend.RunRef
+	fence cowslipbend.Epoch
+}
+
+func (r *runner) Start(_ context.Context, _ cowslipbend.Incarnation, s cowslipbend.RunStart, _ cowslipbend.Time, _ cowslipbend.Epoch) (cowslipbend.Time, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.starts == nil && !r.lags {
+		r.running = append(r.running, cowslipbend.RunState{RunRef: s.RunRef, Percent: 100})
+	}
+	return r.clock.Now(), r.starts
+}
+
+func (r *runner) Stop(_ context.Context, _ cowslipbend.Incarnation, ref cowslipbend.RunRef, _ cowslipbend.Epoch) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stops = append(r.stops, ref)
+	return nil
+}
+
+func (r *runner) Hold(_ context.Context, _ cowslipbend.Incarnation, until cowslipbend.Time, _ int64, _ cowslipbend.Span, fence cowslipbend.Epoch) (cowslipbend.RunList, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.until, r.fence = max(r.until, until), max(r.fence, fence)
+	list := cowslipbend.RunList{Life: life, Clock: r.clock.Now()}
+	list.Running = append(list.Running, r.running...)
+	list.Ends = append(list.Ends, r.ends...)
+	return list, r.holds
+}
+
+func (r *runner) Pace(context.Context, cowslipbend.Incarnation, cowslipbend.RunRef, int, cowslipbend.Epoch) error {
+	return nil
+}
+
+func (r *runner) set(f func(*runner)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r)
+}
+
+// owner takes reports and grants leases.
+type owner struct {
+	mu      sync.Mutex
+	reports []cowslipbend.HostReport
+	grant   cowslipbend.Span
+	url     string
+}
+
+func (o *owner) report(_ context.Context, r *cowslipbend.HostReport) (cowslipbend.ReportReply, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reports = append(o.reports, *r)
+	reply := cowslipbend.ReportReply{Epoch: epoch, Owner: o.url, Grant: o.grant}
+	if r.Host != nil {
+		reply.Life = r.Host.Life
+	}
+	return reply, nil
+}
+
+func (o *owner) last() cowslipbend.HostReport {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.reports) == 0 {
+		return cowslipbend.HostReport{}
+	}
+	return o.reports[len(o.reports)-1]
+}
+
+// rig is a warden with a manual clock between a runner and an owner.
+type rig struct {
+	t      *testing.T
+	clock  *timer.Manual
+	runner *runner
+	owner  *owner
+	warden *warden.Warden
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	clock := &timer.Manual{}
+	clock.Advance(10 * cowslipbend.Second)
+	g := &rig{t: t, clock: clock, runner: &runner{clock: clock}, owner: &owner{grant: 5 * cowslipbend.Second}}
+	mux := http.NewServeMux()
+	caller.Handle(mux, conductor.PathReport, g.owner.report)
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	g.owner.url = srv.URL
+	s := warden.Settings{URL: "http://agent", Entries: []string{srv.URL}, Life: "a", Hold: 6 * cowslipbend.Second}
+	g.warden = warden.New(s, g.runner, caller.New(), func(context.Context) string { return "" }, clock, hclog.NewNullLogger())
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return g.warden.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, group.Wait())
+	})
+	return g
+}
+
+// beat has the runner known and waits until the owner has granted it a lease.
+func (g *rig) beat() {
+	g.t.Helper()
+	g.warden.Beat(cowslipbend.HostBeat{Host: cowslipbend.HostSpec{Life: life, Runner: "r", Service: "ledger"}, Sequence: 1, Clock: g.clock.Now()})
+	g.until(func() bool {
+		g.runner.mu.Lock()
+		defer g.runner.mu.Unlock()
+		return g.owner.last().Host != nil && g.runner.until > 0
+	})
+}
+
+// until moves the clock until the condition holds.
+func (g *rig) until(holds func() bool) {
+	g.t.Helper()
+	for range 4000 {
+		if holds() {
+			return
+		}
+		g.clock.Advance(10)
+		time.Sleep(time.Millisecond)
+	}
+	g.t.Fatal("the condition never held")
+}
+
+func start(index int) cowslipbend.RunStart {
+	return cowslipbend.RunStart{RunRef: cowslipbend.RunRef{Task: cowslipbend.TaskRef{Job: "f", Index: index}, Run: 1}}
+}
+
+func (g *rig) order(o *cowslipbend.HostOrders) cowslipbend.HostReport {
+	g.t.Helper()
+	o.Owner = g.owner.url
+	r, err := g.warden.Orders(g.t.Context(), o)
+	assert.NilError(g.t, err)
+	return r
+}
+
+func assertLists(t *testing.T, r cowslipbend.HostReport, ref cowslipbend.RunRef, want bool) {
+	t.Helper()
+	found := false
+	for i := range r.Running {
+		found = found || r.Running[i].RunRef == ref
+	}
+	assert.Equal(t, found, want, "%+v", r.Running)
+}
+
+func TestOrders(t *testing.T) {
+	t.Run("a start is confirmed and listed, also while the runner's lists lag", func(t *testing.T) {
+		g := newRig(t)
+		g.beat()
+		g.runner.set(func(r *runner) { r.lags, r.holds = true, cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "") })
+		s := start(0)
+		r := g.order(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{s}})
+		assert.Equal(t, r.Results[0].Kind, cowslipbend.Started)
+		assertLists(t, r, s.RunRef, true)
+	})
+	t.Run("earlier owners are refused", func(t *testing.T) {
+		g := newRig(t)
+		g.beat()
+		_, err := g.warden.Orders(t.Context(), &cowslipbend.HostOrders{Epoch: epoch - 1, Life: life})
+		assert.Equal(t, cowslipbend.KindOf(err), cowslipbend.KindStale)
+	})
+	t.Run("the runner enforces a new epoch before its lists are told", func(t *testing.T) {
+		g := newRig(t)
+		g.beat()
+		r := g.order(&cowslipbend.HostOrders{Epoch: epoch + 1})
+		assert.Equal(t, r.Fence, cowslipbend.Epoch(epoch+1))
+	})
+	t.Run("orders for another life are not carried out", func(t *testing.T) {
+		g := newRig(t)
+		g.beat()
+		r := g.order(&cowslipbend.HostOrders{Epoch: epoch, Life: "r@0", Starts: []cowslipbend.RunStart{start(0)}})
+		assert.Equal(t, r.Results[0].Kind, cowslipbend.Absent)
+		assertLists(t, r, start(0).RunRef, false)
+	})
+	t.Run("a draining runner starts nothing", func(t *testing.T) {
+		g := newRig(t)
+		g.beat()
+		g.warden.Beat(cowslipbend.HostBeat{Host: cowslipbend.HostSpec{Life: life, Runner: "r", Service: "ledger", Draining: true}, Sequence: 2})
+		r := g.order(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{start(0)}})
+		assert.Equal(t, r.Results[0].Kind, cowslipbend.Refused)
+	})
+	t.Run("a start without an answer is stopped and told as absent", func(t *testing.T) {
+		g := newRig(t)
+		g.beat()
+		g.runner.set(func(r *runner) { r.starts = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "") })
+		s := start(0)
+		r := g.order(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{s}})
+		assert.Equal(t, len(r.Results), 0)
+		g.until(func() bool {
+			last := g.owner.last()
+			return len(last.Results) == 1 && last.Results[0].Kind == cowslipbend.Absent && last.Results[0].RunRef == s.RunRef
+		})
+		g.runner.set(func(r *runner) { assert.DeepEqual(t, r.stops, []cowslipbend.RunRef{s.RunRef}) })
+	})
+}
+
+func TestLease(t *testing.T) {
+	t.Run("a lease never outlasts what the owner granted", func(t *testing.T) {
+		g := newRig(t)
+		g.beat()
+		g.owner.mu.Lock()
+		g.owner.grant = 0
+		g.owner.mu.Unlock()
+		stopped := g.clock.Now()
+		for range 200 {
+			g.clock.Advance(50)
+			time.Sleep(time.Millisecond)
+		}
+		g.runner.set(func(r *runner) {
+			assert.Assert(t, r.until <= stopped.Add(6*cowslipbend.Second), "%d after %d", r.until, stopped)
+		})
+	})
+	t.Run("a runner that nobody listens for is given up", func(t *testing.T) {
+		g := newRig(t)
+		g.beat()
+		g.runner.set(func(r *runner) { r.holds = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "") })
+		g.until(func() bool { return g.owner.last().Lost == life })
+	})
+	t.Run("a silent runner is given up when its lease has lapsed, not before", func(t *testing.T) {
+		g := newRig(t)
+		g.beat()
+		g.runner.set(func(r *runner) { r.holds = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "") })
+		g.until(func() bool { return g.owner.last().Lost == life })
+		g.runner.set(func(r *runner) { assert.Assert(t, g.clock.Now() > r.until, "%d before %d", g.clock.Now(), r.until) })
+	})
+	t.Run("an old heartbeat changes nothing", func(t *testing.T) {
+		g := newRig(t)
+		g.beat()
+		g.warden.Beat(cowslipbend.HostBeat{Host: cowslipbend.HostSpec{Life: "r@0", Runner: "r", Service: "ledger"}, Sequence: 9})
+		assert.Equal(t, g.order(&cowslipbend.HostOrders{Epoch: epoch, Life: life}).Host.Life, life)
+	})
+}
+
+func TestEnds(t *testing.T) {
+	t.Run("an end is told until it is acknowledged", func(t *testing.T) {
+		g := newRig(t)
+		g.beat()
+		end := cowslipbend.RunEnd{RunRef: start(0).RunRef, Number: 1, How: cowslipbend.EndDone}
+		g.runner.set(func(r *runner) { r.ends = []cowslipbend.RunEnd{end} })
+		g.until(func() bool { return len(g.owner.last().Ends) == 1 })
+		assert.DeepEqual(t, g.owner.last().Ends[0], end)
+	})
+}
