--- a/agent/joiner/joiner.go
+++ b/agent/joiner/joiner.go
@@ -8,10 +8,12 @@
 	"net/http"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/conductor"
+	"cowslipbend.dev/gauger"
 	"cowslipbend.dev/internal/caller"
 	"cowslipbend.dev/internal/server"
 	"cowslipbend.dev/platform"
@@ -31,17 +33,23 @@
 	warden   *warden.Warden
 	main     *server.Server
 	control  *server.Server
+	// ops serves the metrics, if a port was given.
+	ops *server.Server
 }
 
 // New opens the listeners of an agent.
 func New(s platform.Settings, clock cowslipbend.Clock, log hclog.Logger) (*Agent, error) {
 	a := &Agent{settings: s, log: log, store: platform.NewStore(s.Store, clock), caller: caller.New(), runner: platform.NewRunner(s.Runner)}
-	settings := warden.Settings{URL: "http://" + s.Internal(), Life: cowslipbend.Incarnation(cowslipbend.DrawID()), Hold: s.Bounds.Hold}
+	reg := prometheus.NewRegistry()
+	settings := warden.Settings{
+		Gauge: gauger.New(reg), URL: "http://" + s.Internal(), Life: cowslipbend.Incarnation(cowslipbend.DrawID()), Hold: s.Bounds.Hold,
+	}
 	for _, ip := range s.Seeds {
 		settings.Entries = append(settings.Entries, s.Peer(ip))
 	}
 	a.warden = warden.New(settings, a.runner, a.caller, a.owner, clock, log.Named("warden"))
-	mux := http.NewServeMux()
+	mux, ops := http.NewServeMux(), http.NewServeMux()
+	server.Ops(ops, reg, func() error { return nil })
 	a.warden.Serve(mux)
 	var err error
 	if a.main, err = server.Listen(s.Internal(), mux); err != nil {
@@ -51,6 +59,13 @@
 		a.main.Close()
 		return nil, err
 	}
+	if addr := s.Metrics(); addr != "" {
+		if a.ops, err = server.Listen(addr, ops); err != nil {
+			a.main.Close()
+			a.control.Close()
+			return nil, err
+		}
+	}
 	return a, nil
 }
 
@@ -75,6 +90,9 @@
 	g, work := errgroup.WithContext(work)
 	g.Go(a.main.Run)
 	g.Go(a.control.Run)
+	if a.ops != nil {
+		g.Go(a.ops.Run)
+	}
 	g.Go(func() error { return a.warden.Run(work) })
 	g.Go(func() error {
 		select {
@@ -87,6 +105,9 @@
 		a.main.Shutdown(closing)
 		stop()
 		a.control.Shutdown(closing)
+		if a.ops != nil {
+			a.ops.Shutdown(closing)
+		}
 		a.runner.Close()
 		a.caller.Close()
 		a.store.Close()
--- a/agent/platform.go
+++ b/agent/platform.go
@@ -17,9 +17,12 @@
 // platformCommand runs the program on the users' platform.
 func platformCommand() *cli.Command {
 	return &cli.Command{
-		Name:   "platform",
-		Usage:  "run on the users' platform, with the settings that it provides",
-		Flags:  []cli.Flag{starter.String("log", "info", "level of the log, which goes to standard output")},
+		Name:  "platform",
+		Usage: "run on the users' platform, with the settings that it provides",
+		Flags: []cli.Flag{
+			starter.String("log", "info", "level of the log, which goes to standard output"),
+			starter.Int("metrics", 0, "port of this machine on which metrics are served; 0 serves none"),
+		},
 		Before: starter.Defer,
 		Action: runPlatform,
 	}
@@ -35,6 +38,7 @@
 	if err != nil {
 		return err
 	}
+	s.MetricsPort = c.Int("metrics")
 	starter.Bound(int64(s.MemoryB))
 	p, err := joiner.New(s, timer.Host{}, log)
 	if err != nil {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/gauger"
 	"cowslipbend.dev/internal/crew"
 	"cowslipbend.dev/planner"
 )
@@ -52,6 +53,8 @@
 	Planner planner.Options
 	// Unconfirmed is how long after its last commit an owner grants leases.
 	Unconfirmed cowslipbend.Span
+	// Gauge counts; it may be nil.
+	Gauge *gauger.Gauger
 }
 
 // Conductor conducts for one epoch.
@@ -102,6 +105,7 @@
 func (c *Conductor) Run(ctx context.Context) error {
 	defer close(c.done)
 	c.log.Info("conducts", "url", c.settings.URL)
+	c.settings.Gauge.TookOver()
 	version, err := c.load(ctx)
 	if err != nil {
 		return err
--- a/conductor/round.go
+++ b/conductor/round.go
@@ -110,10 +110,12 @@
 	for {
 		n := min(len(puts), maxPuts)
 		m := min(len(dels), maxPuts-n)
+		start := c.clock.Now()
 		began, err := c.fence.Commit(ctx, puts[:n], dels[:m])
 		if err != nil {
 			return err
 		}
+		c.settings.Gauge.Committed(c.clock.Now().Sub(start))
 		puts, dels = puts[n:], dels[m:]
 		c.mu.Lock()
 		c.confirmed = began
@@ -177,6 +179,7 @@
 		// second call is not taken says nothing of the first.
 		err = c.sender.Call(ctx, p.URL+PathOrders, &p.Orders, &r, orderTime)
 	}
+	c.settings.Gauge.Ordered(&p.Orders, err)
 	now := c.clock.Now()
 	c.mu.Lock()
 	switch {
--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -8,13 +8,16 @@
 	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/conductor"
 	"cowslipbend.dev/elector"
+	"cowslipbend.dev/gauger"
 	"cowslipbend.dev/intaker"
 	"cowslipbend.dev/internal/caller"
+	"cowslipbend.dev/internal/meter"
 	"cowslipbend.dev/internal/server"
 	"cowslipbend.dev/planner"
 	"cowslipbend.dev/platform"
@@ -57,30 +60,35 @@
 	leaving  atomic.Bool
 	servers  []*server.Server
 	killed   chan struct{}
+	metrics  *prometheus.Registry
 }
 
 // New opens the listeners of an entry.
 func New(s platform.Settings, clock cowslipbend.Clock, log hclog.Logger) (*Entry, error) {
 	e := &Entry{settings: s, clock: clock, log: log, store: platform.NewStore(s.Store, clock), caller: caller.New(), killed: make(chan struct{})}
+	reg := meter.NewRegistry(func() float64 { return float64(e.version()) })
+	gauge := gauger.New(reg)
+	e.metrics = reg
 	e.ruler = ruler.New(ruler.Source{Feed: e.store, Table: platform.RulesTable, Key: platform.RulesKey, Decode: platform.DecodeRules}, clock, log.Named("ruler"))
 	url := "http://" + s.Internal()
 	life := cowslipbend.Incarnation(cowslipbend.DrawID())
 	lease := min(s.Bounds.Hold*leaseParts/leaseWhole, longestLease)
 	conduct := func(f *conductor.Fence) *conductor.Conductor {
 		return conductor.New(conductor.Settings{
-			URL: url, Unconfirmed: unconfirmed,
+			URL: url, Unconfirmed: unconfirmed, Gauge: gauge,
 			Planner: planner.Options{Lease: lease, Inherited: unconfirmed + lease + lease/leaseWhole, Keep: 2 * s.Bounds.Keep},
 		}, f, e.store, e.store, e.caller, e.ruler.Rules, clock, log.Named("conductor"))
 	}
 	self := elector.Member{ID: cowslipbend.EntryID(s.Node), URL: url, Life: life}
 	e.elector = elector.New(self, e.store, e.caller, clock, log.Named("elector"), conduct)
-	e.intaker = intaker.New(e.store, e.store, e.elector, e.caller, e.ruler.Rules, e.ready, clock, log.Named("intaker"))
+	e.intaker = intaker.New(e.store, e.store, e.elector, e.caller, e.ruler.Rules, e.ready, clock, log.Named("intaker"), gauge)
 	return e, e.listen()
 }
 
 // listen opens the listeners, or closes all if one fails.
 func (e *Entry) listen() error {
-	control := http.NewServeMux()
+	control, ops := http.NewServeMux(), http.NewServeMux()
+	server.Ops(ops, e.metrics, e.ready)
 	for _, l := range []struct {
 		addr    string
 		handler http.Handler
@@ -89,6 +97,7 @@
 		{e.settings.Front, platform.NewFront(e.intaker)},
 		{e.settings.Ready, platform.ReadyHandler(e.intaker)},
 		{e.settings.Control, control},
+		{e.settings.Metrics(), ops},
 	} {
 		if l.addr == "" {
 			continue
@@ -124,6 +133,14 @@
 	return mux
 }
 
+// version returns that of the rules in force, or zero.
+func (e *Entry) version() int64 {
+	if r := e.ruler.Rules(); r != nil {
+		return r.Version
+	}
+	return 0
+}
+
 // ready returns why callers should go elsewhere, or nil.
 func (e *Entry) ready() error {
 	if e.leaving.Load() {
--- /dev/null
+++ b/gauger/gauger_test.go
@@ -0,0 +1,51 @@
+package gauger_test
+
+import (
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/gauger"
+)
+
+// value sums a metric over its labels.
+func value(t *testing.T, reg *prometheus.Registry, name string) float64 {
+	t.Helper()
+	families, err := reg.Gather()
+	assert.NilError(t, err)
+	sum := 0.0
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == name {
+				sum += m.GetCounter().GetValue() + float64(m.GetHistogram().GetSampleCount())
+			}
+		}
+	}
+	return sum
+}
+
+func TestGauger(t *testing.T) {
+	reg := prometheus.NewRegistry()
+	for _, g := range []*gauger.Gauger{nil, gauger.New(reg)} {
+		g.Submitted(nil, 10)
+		g.Submitted(cowslipbend.Fail(cowslipbend.KindDown, "", ""), 10)
+		g.Committed(10)
+		g.Ordered(&cowslipbend.HostOrders{Starts: make([]cowslipbend.RunStart, 3)}, nil)
+		g.TookOver()
+		g.Started(nil)
+		g.Ended("strange")
+		g.Ended("stranger")
+		g.Held(nil)
+		g.Paced()
+		g.Lost()
+	}
+	for name, want := range map[string]float64{
+		"cowslip_flows_submitted_total": 2, "cowslip_flow_storing_seconds": 2, "cowslip_commit_seconds": 1, "cowslip_starts_ordered_total": 3,
+		"cowslip_stops_ordered_total": 0, "cowslip_takeovers_total": 1, "cowslip_start_results_total": 1, "cowslip_run_ends_total": 2,
+		"cowslip_holds_total": 1, "cowslip_paces_total": 1, "cowslip_runners_lost_total": 1, "cowslip_orders_unconfirmed_total": 0,
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, value(t, reg, name), want) })
+	}
+}
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -9,6 +9,7 @@
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/conductor"
+	"cowslipbend.dev/gauger"
 	"cowslipbend.dev/internal/caller"
 	"cowslipbend.dev/internal/crew"
 	"cowslipbend.dev/internal/ring"
@@ -50,6 +51,7 @@
 	rules  func() *cowslipbend.Rules
 	clock  cowslipbend.Clock
 	log    hclog.Logger
+	gauge  *gauger.Gauger
 	ring   *ring.Ring[*pending]
 	crew   crew.Crew
 	// ready returns why callers should go elsewhere.
@@ -58,9 +60,9 @@
 }
 
 // New returns an intaker.
-func New(table cowslipbend.Table, feed cowslipbend.Feed, owners Owners, c *caller.Caller, rules func() *cowslipbend.Rules, ready func() error, clock cowslipbend.Clock, log hclog.Logger) *Intaker {
+func New(table cowslipbend.Table, feed cowslipbend.Feed, owners Owners, c *caller.Caller, rules func() *cowslipbend.Rules, ready func() error, clock cowslipbend.Clock, log hclog.Logger, gauge *gauger.Gauger) *Intaker {
 	return &Intaker{
-		table: table, feed: feed, owners: owners, caller: c, rules: rules, ready: ready, clock: clock, log: log,
+		table: table, feed: feed, owners: owners, caller: c, rules: rules, ready: ready, clock: clock, log: log, gauge: gauge,
 		ring: ring.New[*pending](pendingRing), done: make(chan struct{}),
 	}
 }
@@ -84,8 +86,10 @@
 
 // Submit stores a flow and tells the owner.
 func (i *Intaker) Submit(ctx context.Context, f *cowslipbend.Flow) error {
+	began := i.clock.Now()
 	f.At = i.feed.Now()
 	err := i.accept(ctx, f)
+	i.gauge.Submitted(err, i.clock.Now().Sub(began))
 	i.log.Info("submit", "flow", f.ID, "queue", f.Queue, "steps", len(f.Steps), "outcome", outcome(err), "error", err)
 	if err != nil {
 		return err
--- a/intaker/intaker_test.go
+++ b/intaker/intaker_test.go
@@ -43,7 +43,7 @@
 	t.Helper()
 	d := &desk{table: table, faults: keeper.NewFaults(1, timer.Host{}), owners: &owners{}}
 	rules := func() *cowslipbend.Rules { return &cowslipbend.Rules{} }
-	d.Intaker = intaker.New(d.faults.Table(table), table, d.owners, caller.New(), rules, func() error { return nil }, timer.Host{}, hclog.NewNullLogger())
+	d.Intaker = intaker.New(d.faults.Table(table), table, d.owners, caller.New(), rules, func() error { return nil }, timer.Host{}, hclog.NewNullLogger(), nil)
 	ctx, cancel := context.WithCancel(t.Context())
 	var g errgroup.Group
 	g.Go(func() error { return d.Run(ctx) })
--- a/warden/hold.go
+++ b/warden/hold.go
@@ -51,6 +51,7 @@
 	}
 	w.log.Warn("runner lost", "life", life, "lapsed", lapsed)
 	w.host, w.lost = nil, life
+	w.settings.Gauge.Lost()
 	w.kick()
 }
 
@@ -82,6 +83,7 @@
 	number := w.held
 	w.mu.Unlock()
 	list, err := w.runner.Hold(ctx, life, until, acked, span, epoch)
+	w.settings.Gauge.Held(err)
 	if err != nil {
 		return err
 	}
@@ -134,6 +136,7 @@
 		if e.Number > last {
 			fresh = true
 			delete(w.runs, e.RunRef)
+			w.settings.Gauge.Ended(e.How)
 			w.log.Info("run ended", "flow", e.Task.Job, "task", e.Task.String(), "run", e.Run, "how", e.How, "number", e.Number)
 		}
 	}
@@ -173,6 +176,7 @@
 			w.log.Warn("run was not paced", "task", ref.Task.String(), "run", ref.Run, "percent", percent, "error", err)
 			continue
 		}
+		w.settings.Gauge.Paced()
 		w.mu.Lock()
 		if r := w.runs[ref]; r != nil {
 			r.percent = percent
--- a/warden/orders.go
+++ b/warden/orders.go
@@ -78,7 +78,9 @@
 		wait.Add(1)
 		began := w.spawn(func(ctx context.Context) {
 			defer wait.Done()
-			if res := w.start(ctx, &o.Starts[i], o.Epoch, life); res != nil {
+			res := w.start(ctx, &o.Starts[i], o.Epoch, life)
+			w.settings.Gauge.Started(res)
+			if res != nil {
 				mu.Lock()
 				results = append(results, *res)
 				mu.Unlock()
--- a/warden/warden.go
+++ b/warden/warden.go
@@ -12,6 +12,7 @@
 	"cowslipbend.dev"
 	"cowslipbend.dev/blamer"
 	"cowslipbend.dev/conductor"
+	"cowslipbend.dev/gauger"
 	"cowslipbend.dev/internal/caller"
 	"cowslipbend.dev/internal/crew"
 	"cowslipbend.dev/pacer"
@@ -56,6 +57,8 @@
 	Life    cowslipbend.Incarnation
 	// Hold is the longest lease that a runner grants.
 	Hold cowslipbend.Span
+	// Gauge counts; it may be nil.
+	Gauge *gauger.Gauger
 }
 
 // Owners finds the owner when no entry answers; it returns nothing if it
