--- a/host.go
+++ b/host.go
@@ -105,6 +105,8 @@
 	Number int64 `json:"number"`
 	// Fence is the epoch that the runner has confirmed to enforce.
 	Fence Epoch `json:"fence"`
+	// Age is how long ago the runner gave the lists.
+	Age Span `json:"age,omitempty"`
 	// Host is nil while no runner is known.
 	Host *HostSpec `json:"host,omitempty"`
 	// Lost names a life that certainly runs nothing any more, while no other
--- a/planner/flow.go
+++ b/planner/flow.go
@@ -92,6 +92,8 @@
 	passed int
 	next   int
 	begun  bool
+	// failed lists the hosts on which a task of the flow has failed.
+	failed map[cowslipbend.Incarnation]bool
 	// final is set when the flow has ended, at a moment of the store's clock.
 	final cowslipbend.FlowState
 	ended cowslipbend.Time
--- a/planner/host.go
+++ b/planner/host.go
@@ -33,6 +33,8 @@
 	// moving is set once it is stopped to run elsewhere.
 	slow   cowslipbend.Time
 	moving bool
+	// moved is when it last got on.
+	moved cowslipbend.Time
 }
 
 // served is what serves on a host with one image.
@@ -69,7 +71,8 @@
 	served  cowslipbend.Millicores
 	steps   map[stepKey]int
 	// full is until when it is passed over.
-	full cowslipbend.Time
+	full   cowslipbend.Time
+	health health
 	// observed is when its tails were last looked at.
 	observed cowslipbend.Time
 	// images holds the serving runs by image, fills the processors that
@@ -134,7 +137,7 @@
 
 // usable reports whether new runs may be placed on the host.
 func (h *host) usable(now cowslipbend.Time) bool {
-	return h.known && h.fenced && !h.spec.Draining && now.Sub(h.seen) < quiet && now >= h.full && h.granted > now
+	return h.known && h.fenced && !h.spec.Draining && now.Sub(h.seen) < quiet && now >= h.full && !h.health.banned(now) && h.granted > now
 }
 
 // free returns the room that is left.
--- a/planner/report.go
+++ b/planner/report.go
@@ -103,7 +103,7 @@
 	for i := range r.Running {
 		s := &r.Running[i]
 		there[s.RunRef] = true
-		p.running(h, s, now)
+		p.running(h, s, r.Age <= freshTime, now)
 	}
 	for i := range r.Ends {
 		e := &r.Ends[i]
@@ -112,6 +112,7 @@
 			continue
 		}
 		h.ends = e.Number
+		p.blames(h, e, now)
 		h.drop(e.RunRef)
 		p.end(e.RunRef, e.How, e.Saved)
 	}
@@ -123,7 +124,7 @@
 }
 
 // running notes a run that is on the host.
-func (p *Planner) running(h *host, s *cowslipbend.RunState, now cowslipbend.Time) {
+func (p *Planner) running(h *host, s *cowslipbend.RunState, fresh bool, now cowslipbend.Time) {
 	f := p.flows[s.Task.Job]
 	var t *task
 	if f != nil {
@@ -137,6 +138,9 @@
 		}
 		pl = h.add(s.RunRef, def)
 	}
+	if stands := pl.advance(s.Percent, now); stands && fresh && !pl.moving {
+		p.stalled(h, pl, now)
+	}
 	pl.missed, pl.percent, pl.tail = 0, s.Percent, s.Tail
 	pl.slowed(now)
 	if t == nil {
--- a/warden/report.go
+++ b/warden/report.go
@@ -12,6 +12,7 @@
 	w.number++
 	r := cowslipbend.HostReport{
 		Agent: w.settings.Life, URL: w.settings.URL, Number: w.number, Fence: w.fence, Running: w.running, Ends: w.ends,
+		Age:   w.clock.Now().Sub(w.answered),
 		Pairs: w.version, Lost: w.lost,
 	}
 	if w.host != nil && w.synced {
