--- a/agent/platform.go
+++ b/agent/platform.go
@@ -4,11 +4,10 @@
 	"context"
 	"os"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
-	"golang.org/x/sync/errgroup"
 
 	"cowslipbend.dev/agent/joiner"
-	"cowslipbend.dev/internal/outlet"
 	"cowslipbend.dev/internal/starter"
 	"cowslipbend.dev/platform"
 	"cowslipbend.dev/timer"
@@ -29,28 +28,17 @@
 }
 
 func runPlatform(ctx context.Context, c *cli.Command) error {
-	out := outlet.New(os.Stdout)
-	log, err := starter.Logger("agent", c.String("log"), out)
-	if err := starter.Faults(c, err); err != nil {
-		return err
-	}
 	s, err := platform.ReadSettings()
-	if err != nil {
+	if err := starter.Faults(c, err); err != nil {
 		return err
 	}
 	s.MetricsPort = c.Int("metrics")
-	starter.Bound(int64(s.MemoryB))
-	p, err := joiner.New(s, timer.Host{}, log)
-	if err != nil {
-		return err
-	}
-	var g errgroup.Group
-	g.Go(out.Run)
-	reload, stop := context.WithCancel(ctx)
-	g.Go(func() error { return starter.Reload(reload, func() { platform.Reread(log) }) })
-	err = p.Run(ctx)
-	stop()
-	out.Close()
-	_ = g.Wait() // The outlet returns no error.
-	return err
+	starter.Bound(int64(s.Memory))
+	return starter.Logged(ctx, "agent", c.String("log"), os.Stdout, platform.Reread, func(ctx context.Context, log hclog.Logger) error {
+		p, err := joiner.New(s, timer.Host{}, log)
+		if err != nil {
+			return err
+		}
+		return p.Run(ctx)
+	})
 }
--- a/warden/warden.go
+++ b/warden/warden.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"net/http"
-	"slices"
+	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
@@ -216,15 +217,14 @@
 // of their start.
 func older(a, b cowslipbend.Incarnation) bool { return born(a) < born(b) }
 
-func born(l cowslipbend.Incarnation) string {
-	i := slices.Index([]byte(l), '@')
-	s := string(l)[i+1:]
-	// Moments of equal length compare as text.
-	const width = 20
-	for len(s) < width {
-		s = "0" + s
+// born returns the moment of a life's start, or zero if it names none.
+func born(l cowslipbend.Incarnation) int64 {
+	_, moment, _ := strings.Cut(string(l), "@")
+	ms, err := strconv.ParseInt(moment, 10, 64)
+	if err != nil {
+		return 0
 	}
-	return s
+	return ms
 }
 
 // Leave takes word that the runner ends.
