warden: what an agent cannot know it does not tell; a stop without effect is repeated

Found by reading: (1) orders whose first call had no answer were started anew, or told as refused or absent, by an agent process that had not begun them; (2) an agent that did not know its runner yet told runs of its earlier process as absent; (3) a stop that was not sent, or that an unhealthy runner did not carry out, counted as answered. Each could start a task beside a run that goes on. Tests fail without the changes.

--- a/conductor/round.go
+++ b/conductor/round.go
@@ -192,8 +192,9 @@
 	err := c.sender.Call(ctx, p.URL+PathOrders, &p.Orders, &r, orderTime)
 	unsent := cowslipbend.KindOf(err) == cowslipbend.KindDown
 	if cowslipbend.KindOf(err) == cowslipbend.KindUnknown && ctx.Err() == nil {
-		// Agents carry an order out once, however often it arrives. That the
-		// second call is not taken says nothing of the first.
+		// The agent settles what became of the first call. That the second is
+		// not taken says nothing of it.
+		p.Orders.Again = true
 		err = c.sender.Call(ctx, p.URL+PathOrders, &p.Orders, &r, orderTime)
 	}
 	c.settings.Gauge.Ordered(&p.Orders, err)
--- a/host.go
+++ b/host.go
@@ -161,11 +161,15 @@
 	// Known tells an agent that has restarted what its runs are.
 	Known []RunStart `json:"known,omitempty"`
 	Stops []RunRef   `json:"stops,omitempty"`
+	// Again is set if the orders were sent before without an answer. Their
+	// starts are then settled, not begun.
+	Again bool `json:"again,omitempty"`
 }
 
 // Runner is the platform's runner beside an agent. Errors have KindUnknown if
 // the call may have been carried out, KindDown if it was not sent, KindMissing
-// if no runner listens any more, KindStale if another life answered.
+// if no runner listens any more, KindStale if another life answered,
+// KindLimited if the runner did nothing because it is not well.
 type Runner interface {
 	// Start begins a run unless the moment, on the runner's clock, has passed.
 	// A refusal has KindBusy and its reason as What.
--- a/warden/orders.go
+++ b/warden/orders.go
@@ -34,10 +34,15 @@
 		w.kick()
 	}
 	var results []cowslipbend.RunResult
-	if o.Life != "" && o.Life != life {
-		results = refuseAll(o, cowslipbend.Absent, "runner has started again")
-	} else {
+	switch {
+	case o.Life == "" || o.Life == life:
 		results = w.carryOut(o, life, draining)
+	case life != "" && older(o.Life, life):
+		results = refuseAll(o, cowslipbend.Absent, "runner has started again")
+	default:
+		// An agent that does not know its runner yet cannot tell what became
+		// of runs that an earlier process of it began.
+		w.log.Info("orders for a runner that is not known", "life", o.Life, "known", life)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -65,6 +70,11 @@
 
 // carryOut starts and stops runs, all at the same time.
 func (w *Warden) carryOut(o *cowslipbend.HostOrders, life cowslipbend.Incarnation, draining bool) []cowslipbend.RunResult {
+	if o.Again {
+		results := w.settle(o, life)
+		w.stops(o, life)
+		return results
+	}
 	if draining {
 		starts := &cowslipbend.HostOrders{Starts: o.Starts}
 		results := refuseAll(starts, cowslipbend.Refused, "draining")
@@ -95,6 +105,25 @@
 	return results
 }
 
+// settle answers for starts whose first order had no answer. A run that the
+// runner does not list is kept from ever beginning, and told as absent then.
+func (w *Warden) settle(o *cowslipbend.HostOrders, life cowslipbend.Incarnation) []cowslipbend.RunResult {
+	var results []cowslipbend.RunResult
+	for i := range o.Starts {
+		s := &o.Starts[i]
+		w.mu.Lock()
+		w.know(s)
+		there := w.lists(s.RunRef)
+		w.mu.Unlock()
+		if there {
+			results = append(results, cowslipbend.RunResult{RunRef: s.RunRef, Kind: cowslipbend.Started})
+			continue
+		}
+		w.spawn(func(ctx context.Context) { w.stop(ctx, s.RunRef, o.Epoch, life) })
+	}
+	return results
+}
+
 func (w *Warden) stops(o *cowslipbend.HostOrders, life cowslipbend.Incarnation) {
 	for _, ref := range o.Stops {
 		w.spawn(func(ctx context.Context) { w.stop(ctx, ref, o.Epoch, life) })
@@ -162,7 +191,7 @@
 			return
 		}
 		err := w.runner.Stop(ctx, life, ref, epoch)
-		if cowslipbend.KindOf(err) != cowslipbend.KindUnknown {
+		if !unsettled(err) {
 			break
 		}
 		w.log.Warn("stop was not answered", "flow", ref.Task.Job, "task", ref.Task.String(), "run", ref.Run, "error", err)
@@ -180,6 +209,16 @@
 	w.kick()
 }
 
+// unsettled reports whether an order may not have reached the runner, or only
+// without an effect: a start of the same run could then still begin.
+func unsettled(err error) bool {
+	switch cowslipbend.KindOf(err) {
+	case cowslipbend.KindUnknown, cowslipbend.KindDown, cowslipbend.KindLimited:
+		return true
+	}
+	return false
+}
+
 // lists reports whether the runner lists the run as running or ended.
 func (w *Warden) lists(ref cowslipbend.RunRef) bool {
 	for i := range w.running {
--- a/warden/warden_test.go
+++ b/warden/warden_test.go
@@ -35,6 +35,8 @@
 	// starts is what a start returns, holds the error of holds.
 	starts error
 	holds  error
+	// stopping is what a stop returns.
+	stopping error
 	// until is the last lease, stops the runs that were stopped.
 	until cowslipbend.Time
 	stops []cowslipbend.RunRef
@@ -54,7 +56,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.stops = append(r.stops, ref)
-	return nil
+	return r.stopping
 }
 
 func (r *runner) Hold(_ context.Context, _ cowslipbend.Incarnation, until cowslipbend.Time, _ int64, _ cowslipbend.Span, fence cowslipbend.Epoch) (cowslipbend.RunList, error) {
@@ -210,6 +212,40 @@
 		assert.Equal(t, r.Results[0].Kind, cowslipbend.Absent)
 		assertLists(t, r, start(0).RunRef, false)
 	})
+	t.Run("before the runner is known nothing is said of its runs", func(t *testing.T) {
+		g := newRig(t)
+		o := &cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{start(0)}, Stops: []cowslipbend.RunRef{start(1).RunRef}}
+		assert.Equal(t, len(g.order(o).Results), 0)
+	})
+	t.Run("orders that are sent again start nothing and settle what is there", func(t *testing.T) {
+		g := newRig(t)
+		g.beat()
+		there, lost := start(0), start(1)
+		g.order(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{there}})
+		r := g.order(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{there, lost}, Again: true})
+		assert.DeepEqual(t, r.Results, []cowslipbend.RunResult{{RunRef: there.RunRef, Kind: cowslipbend.Started}})
+		g.until(func() bool {
+			last := g.owner.last()
+			return len(last.Results) == 1 && last.Results[0].RunRef == lost.RunRef && last.Results[0].Kind == cowslipbend.Absent
+		})
+		assertLists(t, g.order(&cowslipbend.HostOrders{Epoch: epoch}), lost.RunRef, false)
+	})
+	for _, kind := range []cowslipbend.Kind{cowslipbend.KindDown, cowslipbend.KindLimited, cowslipbend.KindUnknown} {
+		t.Run("a stop without effect settles nothing: "+string(kind), func(t *testing.T) {
+			g := newRig(t)
+			g.beat()
+			g.runner.set(func(r *runner) { r.stopping = cowslipbend.Fail(kind, "no effect", "") })
+			g.order(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Stops: []cowslipbend.RunRef{start(0).RunRef}})
+			g.until(func() bool {
+				g.runner.mu.Lock()
+				defer g.runner.mu.Unlock()
+				return len(g.runner.stops) >= 3
+			})
+			assert.Equal(t, len(g.owner.last().Results), 0)
+			g.runner.set(func(r *runner) { r.stopping = nil })
+			g.until(func() bool { return len(g.owner.last().Results) == 1 })
+		})
+	}
 	t.Run("a draining runner starts nothing", func(t *testing.T) {
 		g := newRig(t)
 		g.beat()
