--- a/blamer/blamer.go
+++ b/blamer/blamer.go
@@ -88,17 +88,22 @@
 // Load returns the share of its time that a tail of the serving image shows to
 // be taken.
 func (b *Blamer) Load(s Serving) float64 {
-	base, ok := b.bases[s.Image]
-	if !ok {
-		base = s.Target * targetShare
-	}
-	base *= baseShare
+	base := b.base(s.Image, s.Target) * baseShare
 	if s.Tail <= base {
 		return 0
 	}
 	return min(1-base/s.Tail, maxLoad)
 }
 
+// base returns the least tail of the image that was seen; before, it is taken
+// from the target.
+func (b *Blamer) base(image string, target float64) float64 {
+	if base, ok := b.bases[image]; ok {
+		return base
+	}
+	return target * targetShare
+}
+
 // Goal returns the load at which the serving image's tail is the share of its
 // target.
 func (b *Blamer) Goal(image string, target, share float64) float64 {
@@ -111,9 +116,7 @@
 		if t.Tail <= 0 || t.Target <= 0 {
 			continue
 		}
-		if base, ok := b.bases[t.Image]; !ok || t.Tail < base {
-			b.bases[t.Image] = t.Tail
-		}
+		b.bases[t.Image] = min(b.base(t.Image, t.Target), t.Tail)
 	}
 	for image, load := range b.meanLoads(s) {
 		b.learn(image, load, s.Filling)
--- a/conductor/head.go
+++ b/conductor/head.go
@@ -59,6 +59,7 @@
 type Fence struct {
 	table   cowslipbend.Table
 	clock   cowslipbend.Clock
+	epoch   cowslipbend.Epoch
 	head    Head
 	version int64
 }
@@ -70,8 +71,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fence{table: table, clock: clock, head: head, version: version}
-	next := Head{Epoch: head.Epoch + 1, URL: url, Life: life}
+	f := &Fence{table: table, clock: clock, epoch: head.Epoch + 1, head: head, version: version}
+	next := Head{Epoch: f.epoch, URL: url, Life: life}
 	owner, err := json.Marshal(next)
 	if err != nil {
 		return nil, cowslipbend.AsError(err)
@@ -80,7 +81,7 @@
 }
 
 // Epoch returns the owner's epoch.
-func (f *Fence) Epoch() cowslipbend.Epoch { return f.head.Epoch }
+func (f *Fence) Epoch() cowslipbend.Epoch { return f.epoch }
 
 // storePause is the time between two tries while the store does not answer.
 const storePause = 100 * cowslipbend.Millisecond
