planner: reports of an agent's earlier process are passed over

Found by reading: a report that was still under way when its process ended would have counted as that of a new one, with its old lists and its word of a lost runner. Test fails without it.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -72,6 +72,8 @@
 	host cowslipbend.Incarnation
 	// told is set once this life of the agent knows what its runs are.
 	told bool
+	// retired holds the earlier lives, whose reports may still arrive.
+	retired map[cowslipbend.Incarnation]bool
 }
 
 // New returns a planner without flows and hosts.
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -361,6 +361,16 @@
 		p.plan.Report(&late, p.now)
 		assertStarts(t, p.decide(), 0)
 	})
+	t.Run("a report of an earlier process of the agent changes nothing", func(t *testing.T) {
+		p, name, _ := begin(t)
+		late := *p.reports[name]
+		late.Lost, late.Host = late.Host.Life, nil
+		late.Number += 100
+		p.reports[name].Agent = "b"
+		p.report(name)
+		p.plan.Report(&late, p.now)
+		assertStarts(t, p.decide(), 0)
+	})
 	t.Run("a run that waited long for its commit is not missed", func(t *testing.T) {
 		p := newPool(t, 1)
 		p.plan.Submit(flow("f", step(1, 1)))
--- a/planner/report.go
+++ b/planner/report.go
@@ -9,14 +9,9 @@
 
 // Report takes what an agent tells. The moment is on this process' clock.
 func (p *Planner) Report(r *cowslipbend.HostReport, now cowslipbend.Time) {
-	a := p.agents[r.URL]
-	if a == nil || a.life != r.Agent {
-		p.joined = p.joined || a == nil
-		a = &agent{url: r.URL, life: r.Agent}
-		if old := p.agents[r.URL]; old != nil {
-			a.host = old.host
-		}
-		p.agents[r.URL] = a
+	a := p.agent(r)
+	if a == nil {
+		return
 	}
 	newer := r.Number > a.number
 	a.number = max(a.number, r.Number)
@@ -47,6 +42,26 @@
 	}
 }
 
+// agent returns the agent of a report, or nil if a later life of it has
+// reported already.
+func (p *Planner) agent(r *cowslipbend.HostReport) *agent {
+	old := p.agents[r.URL]
+	switch {
+	case old != nil && old.life == r.Agent:
+		return old
+	case old != nil && old.retired[r.Agent]:
+		return nil
+	}
+	a := &agent{url: r.URL, life: r.Agent, retired: map[cowslipbend.Incarnation]bool{}}
+	if old != nil {
+		a.host, a.retired = old.host, old.retired
+		a.retired[old.life] = true
+	}
+	p.joined = p.joined || old == nil
+	p.agents[r.URL] = a
+	return a
+}
+
 // observeEvery is the time between two looks at a host's tails, which are
 // figures of the last half second.
 const observeEvery = 450 * cowslipbend.Millisecond
