planner, blamer: a host's rate is worked out once for a choice; one list of fillings, one shown state

Found by reading the change again: choose worked the rate of every host out twice, questions grouped the hosts anew for each step, planner and pacer both listed fillings by image, a row and a flow both told the state, and orders carried a field that nobody read. Behaviour is meant to stay: the planner's tests are unchanged.

--- a/blamer/blamer.go
+++ b/blamer/blamer.go
@@ -50,6 +50,16 @@
 	Share float64
 }
 
+// Fillings lists the shares by image, in the order of images.
+func Fillings(used map[string]float64) []Filling {
+	list := make([]Filling, 0, len(used))
+	for image, share := range used {
+		list = append(list, Filling{Image: image, Share: share})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Image < list[j].Image })
+	return list
+}
+
 // Scene is one host at one moment.
 type Scene struct {
 	Serving []Serving
--- a/host.go
+++ b/host.go
@@ -156,7 +156,6 @@
 	Epoch  Epoch       `json:"epoch"`
 	Owner  string      `json:"owner"`
 	Life   Incarnation `json:"life,omitempty"`
-	Acked  int64       `json:"acked,omitempty"`
 	Starts []RunStart  `json:"starts,omitempty"`
 	// Known tells an agent that has restarted what its runs are.
 	Known []RunStart `json:"known,omitempty"`
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -101,12 +101,7 @@
 	for _, r := range runs {
 		used[r.Image] += r.Used
 	}
-	list := make([]blamer.Filling, 0, len(used))
-	for image, share := range used {
-		list = append(list, blamer.Filling{Image: image, Share: share})
-	}
-	slices.SortFunc(list, func(a, b blamer.Filling) int { return cmp.Compare(a.Image, b.Image) })
-	return list
+	return blamer.Fillings(used)
 }
 
 // left returns how much load each serving image can still take from what
--- a/planner/advice.go
+++ b/planner/advice.go
@@ -39,6 +39,7 @@
 // can be placed.
 func (p *Planner) Questions(now cowslipbend.Time) []Question {
 	var list []Question
+	hosts := p.byService(now)
 	for _, f := range p.live {
 		if !p.policy(f).Advised {
 			continue
@@ -46,7 +47,7 @@
 		for _, r := range f.rounds {
 			for i := range r.steps {
 				if s := &r.steps[i]; s.ready && s.waiting > 0 {
-					list = p.question(list, f, r, s, now)
+					list = p.question(list, f, r, s, hosts[p.policy(f).Service], now)
 				}
 			}
 		}
@@ -55,7 +56,7 @@
 	return list
 }
 
-func (p *Planner) question(list []Question, f *flow, r *round, s *step, now cowslipbend.Time) []Question {
+func (p *Planner) question(list []Question, f *flow, r *round, s *step, hosts []*host, now cowslipbend.Time) []Question {
 	key := stepKey{f.def.ID, r.number, s.index}
 	a := p.advice[key]
 	if a == nil {
@@ -66,7 +67,7 @@
 		return list
 	}
 	q := Question{Job: f.def.ID, Round: r.number, Step: s.index}
-	for _, h := range p.byService(now)[p.policy(f).Service] {
+	for _, h := range hosts {
 		if len(q.Runners) < adviceHosts && h.fits(s.def, key) {
 			q.Runners = append(q.Runners, h.spec.Runner)
 		}
--- a/planner/flow.go
+++ b/planner/flow.go
@@ -143,10 +143,16 @@
 }
 
 func (f *flow) state() cowslipbend.FlowState {
+	return shown(f.final, f.begun)
+}
+
+// shown returns the state that callers are told of a flow that may have ended
+// and may have begun.
+func shown(final cowslipbend.FlowState, begun bool) cowslipbend.FlowState {
 	switch {
-	case f.final != "":
-		return f.final
-	case f.begun:
+	case final != "":
+		return final
+	case begun:
 		return cowslipbend.FlowRunning
 	}
 	return cowslipbend.FlowQueued
--- a/planner/place.go
+++ b/planner/place.go
@@ -113,10 +113,14 @@
 		if !h.fits(def, key) || (rack != "" && h.spec.Rack != rack) {
 			continue
 		}
-		if def.Fills && p.rate(h, def) < leastRate {
+		rate := 1.0
+		if def.Fills {
+			rate = p.rate(h, def)
+		}
+		if rate < leastRate {
 			continue
 		}
-		if score := p.score(h, def); best == nil || score > bestScore {
+		if score := p.score(h, def, rate); best == nil || score > bestScore {
 			best, bestScore = h, score
 		}
 	}
@@ -131,10 +135,7 @@
 	if def.Spread > 0 && h.steps[key] >= def.Spread {
 		return false
 	}
-	if !def.Reserved().Fits(h.free()) {
-		return false
-	}
-	return true
+	return def.Reserved().Fits(h.free())
 }
 
 // Weights of a host's score, in thousandths of a core.
@@ -152,15 +153,16 @@
 	alikeWeight = 1 << 14
 )
 
-// score tells how well the host suits a task of the step.
-func (p *Planner) score(h *host, def *cowslipbend.Step) int64 {
+// score tells how well the host suits a task of the step, which would work
+// there at the rate.
+func (p *Planner) score(h *host, def *cowslipbend.Step, rate float64) int64 {
 	score := int64(h.idle())
 	if def.Near != "" && slices.Contains(h.spec.Labels, string(def.Near)) {
 		score += nearWeight
 	}
 	switch {
 	case def.Fills:
-		score += int64(p.rate(h, def)*rateWeight) - p.pressure(h, def)
+		score += int64(rate*rateWeight) - p.pressure(h, def)
 	case def.Target > 0 && h.images[def.Image].count > 0:
 		score += alikeWeight
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -230,6 +230,5 @@
 	limit := p.policy(f).Attempts
 	if limit > 0 && t.fails >= limit {
 		p.finish(f, cowslipbend.FlowFailed)
-		return
 	}
 }
--- a/planner/report.go
+++ b/planner/report.go
@@ -1,8 +1,6 @@
 package planner
 
 import (
-	"sort"
-
 	"cowslipbend.dev"
 	"cowslipbend.dev/blamer"
 )
@@ -79,10 +77,7 @@
 			s.Serving = append(s.Serving, blamer.Serving{Image: pl.def.Image, Tail: float64(pl.tail), Target: float64(pl.def.Target)})
 		}
 	}
-	for image, share := range used {
-		s.Filling = append(s.Filling, blamer.Filling{Image: image, Share: share})
-	}
-	sort.Slice(s.Filling, func(i, j int) bool { return s.Filling[i].Image < s.Filling[j].Image })
+	s.Filling = blamer.Fillings(used)
 	return s
 }
 
--- a/planner/row.go
+++ b/planner/row.go
@@ -125,12 +125,4 @@
 }
 
 // Shown returns the state that callers are told.
-func (r *Row) Shown() cowslipbend.FlowState {
-	switch {
-	case r.State != "":
-		return r.State
-	case r.Begun:
-		return cowslipbend.FlowRunning
-	}
-	return cowslipbend.FlowQueued
-}
+func (r *Row) Shown() cowslipbend.FlowState { return shown(r.State, r.Begun) }
