gater: the slot of a request that was cut off stays taken while its endpoint works on

Cause: a request that passed its deadline freed its slot at once, while the endpoint, which is not told, still worked on it; the next request made one too many there. Ruled out: memory, as the case of TestRun declares true sizes. Before: TestAbandon refuses nothing; after: the slot stays taken for as long as the endpoint's answers lately took, 3 s at most.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -22,14 +23,14 @@
 
 // answer passes an endpoint's answer on. A small one of known length is read
 // whole first, so that a broken one is told as such; any other is streamed.
-func (f *Forwarder) answer(w http.ResponseWriter, resp *http.Response, a attempt, t *gater.Ticket) {
+func (f *Forwarder) answer(ctx context.Context, w http.ResponseWriter, resp *http.Response, a attempt, t *gater.Ticket) {
 	if resp.ContentLength < 0 || resp.ContentLength > Small {
-		f.stream(w, resp, a, t)
+		f.stream(ctx, w, resp, a, t)
 		return
 	}
 	body := make([]byte, resp.ContentLength)
 	if _, err := io.ReadFull(resp.Body, body); err != nil {
-		f.failed(w, a, t, err)
+		f.failed(ctx, w, a, t, err)
 		return
 	}
 	t.Finish(gater.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, true, failure(resp))
@@ -58,7 +59,7 @@
 // stream passes an answer on as it comes. A broken one aborts the stream, so
 // that it never looks whole; only a watch may end early, and its trailer says
 // so.
-func (f *Forwarder) stream(w http.ResponseWriter, resp *http.Response, a attempt, t *gater.Ticket) {
+func (f *Forwarder) stream(ctx context.Context, w http.ResponseWriter, resp *http.Response, a attempt, t *gater.Ticket) {
 	trailer := a.Watch && resp.ContentLength < 0
 	if trailer {
 		w.Header().Set("Trailer", cowslipbend.HeaderEnd)
@@ -71,7 +72,11 @@
 	kept := &capture{limit: int(f.limit), skip: !a.Once}
 	readErr, writeErr := flow(w, resp.Body, kept)
 	whole := readErr == nil && kept.whole()
-	t.Finish(gater.Answer{Status: resp.StatusCode, Header: resp.Header, Body: kept.data}, whole, readErr != nil || failure(resp))
+	if cut := writeErr != nil && kept.skip; cut || readErr != nil && ctx.Err() != nil {
+		t.Abandon()
+	} else {
+		t.Finish(gater.Answer{Status: resp.StatusCode, Header: resp.Header, Body: kept.data}, whole, readErr != nil || failure(resp))
+	}
 	end := cowslipbend.EndWhole
 	if trailer && readErr != nil && f.watches.Err() != nil {
 		end, readErr = cowslipbend.EndLeaving, nil
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -118,11 +118,11 @@
 	}
 	resp, err := f.send(ctx, r, a, t.URL+a.path)
 	if err != nil {
-		f.failed(w, a, t, err)
+		f.failed(ctx, w, a, t, err)
 		return
 	}
 	defer resp.Body.Close()
-	f.answer(w, resp, a, t)
+	f.answer(ctx, w, resp, a, t)
 }
 
 // limited applies the time that the entry gave, if any.
@@ -150,13 +150,15 @@
 }
 
 // failed answers for a request that got no whole answer from its endpoint.
-func (f *Forwarder) failed(w http.ResponseWriter, a attempt, t *gater.Ticket, cause error) {
+func (f *Forwarder) failed(ctx context.Context, w http.ResponseWriter, a attempt, t *gater.Ticket, cause error) {
 	outcome := cowslipbend.Uncertain
 	e := cowslipbend.Failf(cowslipbend.KindUnknown, cause, "the request may have run; repeat it only if it is idempotent", "endpoint gave no whole answer")
 	if dialer.Unsent(cause) {
 		outcome = cowslipbend.NotRun
 		e = cowslipbend.Failf(cowslipbend.KindDown, cause, "route the request elsewhere", "endpoint does not accept connections")
 		t.Unrun()
+	} else if ctx.Err() != nil {
+		t.Abandon()
 	} else {
 		t.Finish(gater.Answer{}, false, true)
 	}
--- a/gater/endpoint.go
+++ b/gater/endpoint.go
@@ -47,10 +47,11 @@
 	seen     cowslipbend.Time
 	leaving  bool
 	silent   bool
-	inflight int   // slots taken
-	open     int   // connections taken; at least inflight
-	latency  int64 // microseconds, smoothed
-	errors   int   // per mille, smoothed
+	inflight int              // slots taken
+	open     int              // connections taken; at least inflight
+	latency  int64            // microseconds, smoothed
+	longest  cowslipbend.Span // of recent answers
+	errors   int              // per mille, smoothed
 }
 
 // fits reports whether one more request can run. A watch takes a connection
@@ -84,6 +85,9 @@
 // smoothing is the divisor of the moving averages.
 const smoothing = 16
 
+// fading is the divisor by which the longest answer fades with each answer.
+const fading = 256
+
 // perMille is the whole in counts of thousandths.
 const perMille = 1000
 
@@ -97,6 +101,9 @@
 	e.latency += (micros - e.latency) / smoothing
 }
 
+// last takes how long an answer took.
+func (e *endpoint) last(took cowslipbend.Span) { e.longest = max(took, e.longest-e.longest/fading) }
+
 // maxEndpoints bounds the endpoints of one agent.
 const maxEndpoints = 1024
 
@@ -191,6 +198,7 @@
 func (g *Gate) Endpoints() []EndpointState {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.settle(g.clock.Now())
 	states := make([]EndpointState, 0, len(g.byID))
 	for _, ep := range g.byID {
 		states = append(states, EndpointState{
@@ -210,6 +218,7 @@
 func (g *Gate) State(service cowslipbend.ServiceID) EndpointState {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.settle(g.clock.Now())
 	sum := EndpointState{Leaving: true}
 	n := int64(0)
 	for _, ep := range g.byID {
--- a/gater/gate.go
+++ b/gater/gate.go
@@ -114,11 +114,13 @@
 	mu      sync.Mutex
 	records map[cowslipbend.RequestID]*record
 	queue   expiry
-	kept    cowslipbend.Bytes
-	byID    map[cowslipbend.EndpointID]*endpoint
-	leaving bool
-	active  int
-	idle    chan struct{}
+	// settling holds the slots of abandoned requests.
+	settling []settling
+	kept     cowslipbend.Bytes
+	byID     map[cowslipbend.EndpointID]*endpoint
+	leaving  bool
+	active   int
+	idle     chan struct{}
 }
 
 // New returns a gate for one life of an agent.
@@ -145,6 +147,7 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	g.expire(now)
+	g.settle(now)
 	if err := g.admit(r, now); err != nil {
 		return nil, err
 	}
@@ -156,7 +159,7 @@
 	g.active++
 	rec := &record{state: Pending, once: r.Once, done: make(chan struct{})}
 	g.records[r.ID] = rec
-	return &Ticket{gate: g, id: r.ID, rec: rec, ep: ep, watch: r.Watch, URL: ep.URL, began: time.Now()}, nil
+	return &Ticket{gate: g, id: r.ID, rec: rec, ep: ep, watch: r.Watch, URL: ep.URL, accepted: now, began: time.Now()}, nil
 }
 
 // admit checks all that does not depend on an endpoint.
--- a/gater/gate_test.go
+++ b/gater/gate_test.go
@@ -147,3 +147,58 @@
 		assert.Equal(t, string(answer.Body), "whole")
 	})
 }
+
+func TestAbandon(t *testing.T) {
+	const usual = 40 * cowslipbend.Millisecond
+	answered := func(t *testing.T) (*gater.Gate, *timer.Manual) {
+		t.Helper()
+		g, clock := newGate(t, 1)
+		ticket, err := g.Accept(request(g, "first"))
+		assert.NilError(t, err)
+		clock.Advance(usual)
+		ticket.Finish(gater.Answer{}, true, false)
+		return g, clock
+	}
+	t.Run("the endpoint works on for as long as its answers take", func(t *testing.T) {
+		g, clock := answered(t)
+		ticket, err := g.Accept(request(g, "a"))
+		assert.NilError(t, err)
+		clock.Advance(usual / 4)
+		ticket.Abandon()
+		_, err = g.Accept(request(g, "b"))
+		assertKind(t, err, cowslipbend.KindBusy)
+		assert.Equal(t, g.State("s").Inflight, 1)
+		clock.Advance(usual * 3 / 4)
+		assert.Equal(t, g.State("s").Inflight, 0)
+		_, err = g.Accept(request(g, "c"))
+		assert.NilError(t, err)
+	})
+	t.Run("a request beyond the usual time frees its slot", func(t *testing.T) {
+		g, clock := answered(t)
+		ticket, err := g.Accept(request(g, "a"))
+		assert.NilError(t, err)
+		clock.Advance(usual)
+		ticket.Abandon()
+		_, err = g.Accept(request(g, "b"))
+		assert.NilError(t, err)
+	})
+	t.Run("it may have run", func(t *testing.T) {
+		g, _ := answered(t)
+		ticket, err := g.Accept(request(g, "a"))
+		assert.NilError(t, err)
+		ticket.Abandon()
+		state, _ := g.Void(question(life, g.Token()))
+		assert.Equal(t, state, gater.Lost)
+	})
+	t.Run("leaving waits for none that is abandoned", func(t *testing.T) {
+		g, _ := answered(t)
+		ticket, err := g.Accept(request(g, "a"))
+		assert.NilError(t, err)
+		ticket.Abandon()
+		select {
+		case <-g.Leave():
+		default:
+			t.Fatal("an abandoned request is waited for")
+		}
+	})
+}
--- a/stand/try/try_test.go
+++ b/stand/try/try_test.go
@@ -12,15 +12,18 @@
 	"cowslipbend.dev/stand/try"
 )
 
-func options(name string) try.Options {
+// options returns a run whose broken invariants are part of the test's output.
+func options(t *testing.T, name string) try.Options {
+	t.Helper()
+	log := hclog.New(&hclog.LoggerOptions{Output: t.Output(), Level: hclog.Error})
 	return try.Options{
-		Firm: "fraser", Case: name, Policy: "guarded", For: 3 * cowslipbend.Second, Seed: 1, Log: hclog.NewNullLogger(),
+		Firm: "fraser", Case: name, Policy: "guarded", For: 3 * cowslipbend.Second, Seed: 1, Log: log,
 	}
 }
 
 func TestRun(t *testing.T) {
 	t.Run("nothing is broken and accepted work finishes", func(t *testing.T) {
-		r, err := try.Run(context.Background(), options("quiet"))
+		r, err := try.Run(context.Background(), options(t, "quiet"))
 		assert.NilError(t, err)
 		assert.Equal(t, r.Verdict, judge.Verdict{})
 		assert.Assert(t, r.Ran > 0)
