planner: filling runs count for what they are seen to use, and wait for nine tenths of their speed

Answers the load of filling work that fills all hosts: a third of its runs use two thirds of the processors that they declare, so that hosts without any serving run stood a sixth idle while filling work waited. Ruled out: a far rack (no data is named), slower hosts (fast and slow runs lay side by side), stragglers (both kinds progress alike).

--- /dev/null
+++ b/planner/fill_test.go
@@ -0,0 +1,58 @@
+package planner_test
+
+import (
+	"testing"
+
+	"cowslipbend.dev"
+)
+
+// filling returns a step of tasks that fill, with the cores that they declare.
+func filling(count int, cores cowslipbend.Millicores) cowslipbend.Step {
+	s := step(count, cores)
+	s.Fills, s.Image = true, "batch"
+	return s
+}
+
+// use sets what all runs of the host use.
+func (p *pool) use(name string, cpu cowslipbend.Millicores) {
+	for i := range p.reports[name].Running {
+		p.reports[name].Running[i].Tail = int64(cpu)
+		p.reports[name].Running[i].Percent++
+	}
+}
+
+// TestFilling plays filling work that wants more than there is.
+func TestFilling(t *testing.T) {
+	t.Run("it gets what others leave, and no more", func(t *testing.T) {
+		p := newPool(t, 1)
+		p.plan.Submit(flow("plain", step(1, 2)))
+		p.obey(p.decide())
+		p.plan.Submit(flow("batch", filling(4, 1)))
+		assertStarts(t, p.decide(), 2)
+	})
+	t.Run("work that uses less than it declares leaves room for more", func(t *testing.T) {
+		p := newPool(t, 1)
+		p.plan.Submit(flow("batch", filling(8, 1)))
+		orders := p.decide()
+		assertStarts(t, orders, 4)
+		p.obey(orders)
+		p.use("h0", cowslipbend.Core*65/100)
+		p.report("h0")
+		assertStarts(t, p.decide(), 0)
+		p.report("h0")
+		orders = p.decide()
+		assertStarts(t, orders, 1)
+		p.obey(orders)
+		assertStarts(t, p.decide(), 0)
+	})
+	t.Run("a run whose figure sinks keeps what it wants", func(t *testing.T) {
+		p := newPool(t, 1)
+		p.plan.Submit(flow("batch", filling(8, 1)))
+		p.obey(p.decide())
+		for _, cpu := range []cowslipbend.Millicores{cowslipbend.Core, cowslipbend.Core / 10} {
+			p.use("h0", cpu)
+			p.report("h0")
+		}
+		assertStarts(t, p.decide(), 0)
+	})
+}
--- a/planner/host.go
+++ b/planner/host.go
@@ -35,6 +35,11 @@
 	moving bool
 	// moved is when it last got on.
 	moved cowslipbend.Time
+	// wants is what a filling run is taken to want of its host's processors:
+	// what it declares, until it has been seen at work looks times.
+	wants cowslipbend.Millicores
+	peak  cowslipbend.Millicores
+	looks int
 }
 
 // served is what serves on a host with one image.
@@ -94,8 +99,12 @@
 		return pl
 	}
 	pl := &place{def: def}
+	if def != nil && def.Fills {
+		pl.wants = def.Size.CPU
+	}
 	h.runs[ref] = pl
 	h.change(ref, def, 1)
+	h.fill(def, pl.wants)
 	return pl
 }
 
@@ -104,7 +113,45 @@
 	if pl := h.runs[ref]; pl != nil {
 		delete(h.runs, ref)
 		h.change(ref, pl.def, -1)
+		h.fill(pl.def, -pl.wants)
+	}
+}
+
+// fill counts what filling runs want.
+func (h *host) fill(def *cowslipbend.Step, by cowslipbend.Millicores) {
+	if by == 0 {
+		return
+	}
+	h.filled += by
+	if h.fills[def.Image] += by; h.fills[def.Image] == 0 {
+		delete(h.fills, def.Image)
+	}
+}
+
+// Terms of what a filling run wants. Many declare more than they ever use.
+const (
+	// enoughLooks is how often a run must have been seen at work: its first
+	// figure covers part of its start.
+	enoughLooks = 2
+	// leastWanted is the least share of its declaration, in per cent; a paced
+	// run uses less than it wants.
+	leastWanted = 60
+)
+
+// measure takes what a filling run uses.
+func (h *host) measure(pl *place, used cowslipbend.Millicores) {
+	if pl.wants == 0 || used <= 0 {
+		return
 	}
+	pl.looks++
+	pl.peak = max(pl.peak, used)
+	if pl.looks < enoughLooks {
+		return
+	}
+	declared := pl.def.Size.CPU
+	wants := min(max(pl.peak, declared*leastWanted/100), declared)
+	h.fill(pl.def, wants-pl.wants)
+	pl.wants = wants
 }
 
 func (h *host) change(ref cowslipbend.RunRef, def *cowslipbend.Step, by int64) {
@@ -112,12 +159,6 @@
 		return
 	}
 	h.used = h.used.Plus(def.Reserved().Times(by))
-	if def.Fills {
-		h.filled += def.Size.CPU * cowslipbend.Millicores(by)
-		if h.fills[def.Image] += def.Size.CPU * cowslipbend.Millicores(by); h.fills[def.Image] == 0 {
-			delete(h.fills, def.Image)
-		}
-	}
 	if def.Target > 0 {
 		h.serving += int(by)
 		h.served += def.Size.CPU * cowslipbend.Millicores(by)
--- a/planner/place.go
+++ b/planner/place.go
@@ -9,7 +9,7 @@
 // leastRate is the rate at which a filling task must be expected to work. One
 // that would work more slowly waits: it would only hold memory, and slow
 // others or disturb what serves.
-const leastRate = 0.75
+const leastRate = 0.9
 
 // placeFlow places the waiting tasks of a flow's ready steps.
 func (p *Planner) placeFlow(f *flow, hosts []*host, now cowslipbend.Time) {
--- a/planner/report.go
+++ b/planner/report.go
@@ -152,6 +152,7 @@
 		p.stalled(h, pl, now)
 	}
 	pl.missed, pl.percent, pl.tail = 0, s.Percent, s.Tail
+	h.measure(pl, cowslipbend.Millicores(s.Tail))
 	pl.slowed(now)
 	if t == nil {
 		return
