blamer, planner, warden: own loads are followed by host, and filling runs are paced as they begin

Answers the load of filling work beside serving tasks whose own load swings over ten seconds, which the filter took for noise. Tails without filling work move smoothly and alike for the tasks of one flow on a host. Changes: the own load of each flow's tasks on a host is a state of the filter that drifts back to its mean; placement uses it in place of a usual load; an agent paces a filling run when it has begun, and looks more often while runs serve; the pacer aims at 0.97 of the target.

--- a/blamer/blamer.go
+++ b/blamer/blamer.go
@@ -12,11 +12,16 @@
 	// priorVar its variance: most press weakly, some more than ten times that.
 	priorPress = 0.8
 	priorVar   = 2.0
-	// ownLoad is the mean of a serving task's own load.
+	// ownLoad is the mean of a serving task's own load, and ownVar the variance
+	// among tasks and moments: it swings by half.
 	ownLoad = 0.42
-	// noiseVar is the variance of that load, which swings by half, and of a
-	// tail that is told in whole milliseconds.
-	noiseVar = 0.03
+	ownVar  = 0.03
+	// driftVar is what the swing adds to the variance of a known own load from
+	// one moment to the next, half a second later.
+	driftVar = 0.006
+	// noiseVar is the variance of a load that is told by a tail in whole
+	// milliseconds.
+	noiseVar = 0.006
 	// forget is added to a variance by each sample, so that presses may
 	// change.
 	forget = 0.0005
@@ -39,7 +44,9 @@
 
 // Serving is a serving task at one moment; times are in milliseconds.
 type Serving struct {
-	Image  string
+	Image string
+	// Group names the tasks whose own loads swing alike.
+	Group  string
 	Tail   float64
 	Target float64
 }
@@ -62,37 +69,47 @@
 
 // Scene is one host at one moment.
 type Scene struct {
+	Host    string
 	Serving []Serving
 	Filling []Filling
 }
 
 type key struct{ serving, filling string }
 
-type term struct{ press, variance float64 }
+// term is an estimate: of a load by all of a host's processors, or of a
+// group's own load.
+type term struct{ load, variance float64 }
+
+// group names the tasks of an image whose own loads swing alike.
+type group struct{ image, name string }
 
 // Blamer keeps the estimates. It is not safe for concurrent use.
 type Blamer struct {
 	pairs map[key]term
 	// bases holds the least tail seen of each serving image.
-	bases   map[string]float64
+	bases map[string]float64
+	// owns holds the own loads of the groups at the last moment of each host.
+	owns    map[string]map[group]term
 	version int64
 }
 
 // New returns a blamer without evidence.
-func New() *Blamer { return &Blamer{pairs: map[key]term{}, bases: map[string]float64{}} }
+func New() *Blamer {
+	return &Blamer{pairs: map[key]term{}, bases: map[string]float64{}, owns: map[string]map[group]term{}}
+}
 
 // Version changes whenever an estimate does.
 func (b *Blamer) Version() int64 { return b.version }
 
 // Press returns by how much the filling image would load the serving one if it
 // used all of their host.
-func (b *Blamer) Press(serving, filling string) float64 { return b.term(key{serving, filling}).press }
+func (b *Blamer) Press(serving, filling string) float64 { return b.term(key{serving, filling}).load }
 
 func (b *Blamer) term(k key) term {
 	if t, ok := b.pairs[k]; ok {
 		return t
 	}
-	return term{press: priorPress, variance: priorVar}
+	return term{load: priorPress, variance: priorVar}
 }
 
 // Load returns the share of its time that a tail of the serving image shows to
@@ -120,65 +137,94 @@
 	return b.Load(Serving{Image: image, Tail: target * share, Target: target})
 }
 
-// Observe takes one host's moment.
+// Observe takes one host's moment. Moments of a host are half a second apart.
 func (b *Blamer) Observe(s Scene) {
 	for _, t := range s.Serving {
-		if t.Tail <= 0 || t.Target <= 0 {
-			continue
+		if t.Tail > 0 && t.Target > 0 {
+			b.bases[t.Image] = min(b.base(t.Image, t.Target), t.Tail)
 		}
-		b.bases[t.Image] = min(b.base(t.Image, t.Target), t.Tail)
 	}
-	for image, load := range b.meanLoads(s) {
-		b.learn(image, load, s.Filling)
+	old, own := b.owns[s.Host], map[group]term{}
+	for g, load := range b.meanLoads(s) {
+		t, known := old[g]
+		if !known {
+			t = term{ownLoad, ownVar}
+		}
+		own[g] = b.learn(g.image, load, t, s.Filling)
 	}
+	b.owns[s.Host] = own
 }
 
-// meanLoads returns the mean load of the tasks of each serving image: what
-// presses on them is the same for all, and their own loads partly cancel out.
-func (b *Blamer) meanLoads(s Scene) map[string]float64 {
-	sums, counts := map[string]float64{}, map[string]float64{}
+// Own returns the largest own load of the image's groups on a host.
+func (b *Blamer) Own(host, image string) float64 {
+	own, known := 0.0, false
+	for g, t := range b.owns[host] {
+		if g.image == image {
+			own, known = max(own, t.load), true
+		}
+	}
+	if !known {
+		return ownLoad
+	}
+	return own
+}
+
+// Forget drops what is known of a host's moments.
+func (b *Blamer) Forget(host string) { delete(b.owns, host) }
+
+// meanLoads returns the mean load of the tasks of each group: what presses on
+// them is the same for all.
+func (b *Blamer) meanLoads(s Scene) map[group]float64 {
+	sums, counts := map[group]float64{}, map[group]float64{}
 	for _, t := range s.Serving {
 		if t.Tail > 0 && t.Target > 0 {
-			sums[t.Image] += b.Load(t)
-			counts[t.Image]++
+			g := group{t.Image, t.Group}
+			sums[g] += b.Load(t)
+			counts[g]++
 		}
 	}
-	for image := range sums {
-		sums[image] /= counts[image]
+	for g := range sums {
+		sums[g] /= counts[g]
 	}
 	return sums
 }
 
-func (b *Blamer) learn(serving string, load float64, filling []Filling) {
-	expected, variance := ownLoad, noiseVar
+// learn splits what a load differs from the expected one among the presses of
+// what fills and the group's own load, which it returns.
+func (b *Blamer) learn(serving string, load float64, own term, filling []Filling) term {
+	own.load += (ownLoad - own.load) * driftVar / (2 * ownVar) // A swing returns to its mean.
+	own.variance = min(own.variance+driftVar, ownVar)
+	expected, variance := own.load, own.variance+noiseVar
 	for _, f := range filling {
 		t := b.term(key{serving, f.Image})
-		expected += t.press * f.Share
+		expected += t.load * f.Share
 		variance += t.variance * f.Share * f.Share
 	}
 	if load >= maxLoad && expected >= maxLoad {
-		return // The tail tells no more than what is expected.
+		return own // The tail tells no more than what is expected.
 	}
+	surprise := load - expected
 	for _, f := range filling {
 		k := key{serving, f.Image}
 		t, known := b.pairs[k]
+		if !known && len(b.pairs) >= maxPairs || f.Share < leastShare {
+			continue
+		}
 		if !known {
-			if len(b.pairs) >= maxPairs {
-				continue
-			}
 			t = b.term(k)
 		}
-		if f.Share < leastShare {
-			continue
-		}
 		gain := t.variance * f.Share / variance
-		t.press = min(max(t.press+gain*(load-expected), 0), maxPress)
+		t.load = min(max(t.load+gain*surprise, 0), maxPress)
 		t.variance = t.variance*(1-gain*f.Share) + forget
 		b.pairs[k] = t
 	}
 	if len(filling) > 0 {
 		b.version++
 	}
+	gain := own.variance / variance
+	own.load = min(max(own.load+gain*surprise, 0), maxLoad)
+	own.variance *= 1 - gain
+	return own
 }
 
 // Pairs lists the estimates about serving images that the function wants.
@@ -186,7 +232,7 @@
 	var list []cowslipbend.Pair
 	for k, t := range b.pairs {
 		if wanted(k.serving) {
-			list = append(list, cowslipbend.Pair{Serving: k.serving, Filling: k.filling, Press: t.press, Variance: t.variance})
+			list = append(list, cowslipbend.Pair{Serving: k.serving, Filling: k.filling, Press: t.load, Variance: t.variance})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool {
@@ -201,6 +247,6 @@
 // Adopt replaces estimates by those of another blamer that has seen more.
 func (b *Blamer) Adopt(pairs []cowslipbend.Pair) {
 	for _, p := range pairs {
-		b.pairs[key{p.Serving, p.Filling}] = term{press: p.Press, variance: p.Variance}
+		b.pairs[key{p.Serving, p.Filling}] = term{load: p.Press, variance: p.Variance}
 	}
 }
--- a/blamer/blamer_test.go
+++ b/blamer/blamer_test.go
@@ -62,6 +62,38 @@
 		}
 		assert.Equal(t, b.Press("web", "trace"), before)
 	})
+	t.Run("a few seconds tell heavy from light beside a slow swing", func(t *testing.T) {
+		for phase := range 8 {
+			b := blamer.New()
+			worst := 0.0
+			for i := range 16 {
+				own := 0.42 + 0.21*math.Sin(float64(i)/3.5+float64(phase))
+				scene := blamer.Scene{Host: "h"}
+				load, image := own, []string{"light", "heavy"}[i/4%2]
+				if i%4 > 0 {
+					scene.Filling = []blamer.Filling{{Image: image, Share: 0.11}}
+					load += map[string]float64{"light": 0.3, "heavy": 2.5}[image] * 0.11
+				}
+				scene.Serving = []blamer.Serving{{Image: "web", Group: "a", Tail: tail(load), Target: target}}
+				b.Observe(scene)
+			}
+			worst = max(worst, b.Press("web", "light"), 2.5-b.Press("web", "heavy"))
+			assert.Assert(t, worst < 1, "phase %d: light %.2f heavy %.2f", phase, b.Press("web", "light"), b.Press("web", "heavy"))
+		}
+	})
+	t.Run("the own load of a host is followed", func(t *testing.T) {
+		b := blamer.New()
+		assert.Equal(t, b.Own("h", "web"), b.Own("other", "web"))
+		for range 4 {
+			b.Observe(blamer.Scene{Host: "h", Serving: []blamer.Serving{
+				{Image: "web", Group: "calm", Tail: tail(0.2), Target: target}, {Image: "web", Group: "busy", Tail: tail(0.6), Target: target},
+			}})
+		}
+		assert.Assert(t, math.Abs(b.Own("h", "web")-0.6) < 0.1, "%f", b.Own("h", "web"))
+		usual := b.Own("other", "web")
+		b.Forget("h")
+		assert.Equal(t, b.Own("h", "web"), usual)
+	})
 	t.Run("no estimate leaves its bounds", func(t *testing.T) {
 		b := blamer.New()
 		for i := range 200 {
--- a/blamer/doc.go
+++ b/blamer/doc.go
@@ -6,7 +6,9 @@
 // share of time that is left to it. That share falls by its own load and, for
 // each filling image, by a press times the part of the host's processors that
 // the image uses. The presses are estimated by a Kalman filter with
-// independent terms for each serving image, whose own load counts as noise.
+// independent terms. It also follows the own load of each group of serving
+// tasks on each host, which drifts slowly, so that what changes when filling
+// work begins or ends is told from that drift.
 //
 // Package planner feeds it from all hosts' reports and keeps strong pairs
 // apart. Package pacer uses the same estimates beside one runner.
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -71,12 +71,7 @@
 	}
 	kept := &capture{limit: int(f.limit), skip: !a.Once}
 	readErr, writeErr := flow(w, resp.Body, kept)
-	whole := readErr == nil && kept.whole()
-	if cut := writeErr != nil && kept.skip; cut || readErr != nil && ctx.Err() != nil {
-		t.Abandon()
-	} else {
-		t.Finish(gater.Answer{Status: resp.StatusCode, Header: resp.Header, Body: kept.data}, whole, readErr != nil || failure(resp))
-	}
+	closeStream(ctx, t, resp, kept, readErr, writeErr)
 	end := cowslipbend.EndWhole
 	if trailer && readErr != nil && f.watches.Err() != nil {
 		end, readErr = cowslipbend.EndLeaving, nil
@@ -89,6 +84,18 @@
 	}
 }
 
+// closeStream closes the ticket of a stream. One that was broken off on this side
+// leaves the endpoint at work.
+func closeStream(ctx context.Context, t *gater.Ticket, resp *http.Response, kept *capture, readErr, writeErr error) {
+	unread := writeErr != nil && kept.skip
+	if unread || readErr != nil && ctx.Err() != nil {
+		t.Abandon()
+		return
+	}
+	a := gater.Answer{Status: resp.StatusCode, Header: resp.Header, Body: kept.data}
+	t.Finish(a, readErr == nil && kept.whole(), readErr != nil || failure(resp))
+}
+
 // capture keeps a copy of what passes, up to a limit.
 type capture struct {
 	data  []byte
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"cowslipbend.dev"
@@ -12,7 +13,7 @@
 const (
 	// aim is the tail that is aimed at, as a share of the target. The rest is
 	// for swings within the half second that a tail and a change of pace take.
-	aim = 0.9
+	aim = 0.97
 	// smooth is the weight of a new sample in the estimate of a serving task's
 	// own load.
 	smooth = 0.6
@@ -63,7 +64,18 @@
 func (p *Pacer) Decide(serving []blamer.Serving, runs []Run) map[cowslipbend.RunRef]int {
 	p.model.Observe(blamer.Scene{Serving: serving, Filling: fillings(runs)})
 	p.count(serving)
-	left := p.left(serving, runs)
+	return p.changes(p.left(serving, runs), runs)
+}
+
+// Admit returns the pace of a run that begins beside the others, by what was
+// last seen: until the next moment it would press in full.
+func (p *Pacer) Admit(ref cowslipbend.RunRef, runs []Run) (pace int, changes bool) {
+	pace, changes = p.changes(maps.Clone(p.own), runs)[ref]
+	return pace, changes
+}
+
+// changes returns the paces that change if the runs share what is left.
+func (p *Pacer) changes(left map[string]float64, runs []Run) map[cowslipbend.RunRef]int {
 	order := slices.Clone(runs)
 	slices.SortStableFunc(order, func(a, b Run) int { return cmp.Compare(p.pressure(a.Image, left), p.pressure(b.Image, left)) })
 	changes := map[cowslipbend.RunRef]int{}
--- a/planner/fill_test.go
+++ b/planner/fill_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"cowslipbend.dev"
 )
 
@@ -56,3 +58,43 @@
 		assertStarts(t, p.decide(), 0)
 	})
 }
+
+// TestSwings plays serving tasks whose own load swings: filling work goes to
+// the hosts where it is low now.
+func TestSwings(t *testing.T) {
+	const target = 18 * cowslipbend.Millisecond
+	p := newPool(t, 2)
+	serving := step(2, 2)
+	serving.Lasting, serving.Image, serving.Target, serving.Spread = true, "web", target, 1
+	p.plan.Submit(flow("a", serving))
+	p.obey(p.decide())
+	swing := func(tails map[string]int64) {
+		for range 6 {
+			p.now = p.now.Add(500)
+			for name, tail := range tails {
+				assert.Equal(t, len(p.reports[name].Running), 1)
+				p.reports[name].Running[0].Tail = tail
+				p.report(name)
+			}
+		}
+	}
+	fills := func(id string) string {
+		p.plan.Submit(flow(id, filling(1, 1)))
+		orders := p.decide()
+		if len(starts(orders)) == 0 {
+			p.plan.Cancel(cowslipbend.JobID(id))
+			p.decide()
+			return ""
+		}
+		name, ref := only(t, orders)
+		p.obey(orders)
+		p.finish(name, ref, cowslipbend.EndDone)
+		return name
+	}
+	swing(map[string]int64{"h0": 15, "h1": 6})
+	assert.Equal(t, fills("one"), "h1")
+	swing(map[string]int64{"h0": 6, "h1": 15})
+	assert.Equal(t, fills("two"), "h0")
+	swing(map[string]int64{"h0": 17, "h1": 17})
+	assert.Equal(t, fills("three"), "")
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -183,8 +183,6 @@
 const (
 	// aimShare is the tail that is aimed at, as a share of its target.
 	aimShare = 0.65
-	// usualLoad is what serving tasks are taken to load themselves.
-	usualLoad = 0.45
 )
 
 // rate returns the share at which a filling task would work beside what fills
@@ -199,7 +197,7 @@
 		if press <= 0 {
 			continue
 		}
-		room := p.blame.Goal(image, float64(s.target), aimShare) - usualLoad
+		room := p.blame.Goal(image, float64(s.target), aimShare) - p.blame.Own(string(h.life), image)
 		for fill, cpu := range h.fills {
 			room -= p.blame.Press(image, fill) * h.share(cpu)
 		}
--- a/planner/report.go
+++ b/planner/report.go
@@ -66,15 +66,17 @@
 
 // scene returns what fills and serves on the host.
 func (h *host) scene() blamer.Scene {
-	var s blamer.Scene
+	s := blamer.Scene{Host: string(h.life)}
 	used := map[string]float64{}
-	for _, pl := range h.runs {
+	for ref, pl := range h.runs {
 		switch {
 		case pl.def == nil || !pl.confirmed:
 		case pl.def.Fills:
 			used[pl.def.Image] += h.share(cowslipbend.Millicores(pl.tail))
 		case pl.def.Target > 0 && pl.percent == 100:
-			s.Serving = append(s.Serving, blamer.Serving{Image: pl.def.Image, Tail: float64(pl.tail), Target: float64(pl.def.Target)})
+			s.Serving = append(s.Serving, blamer.Serving{
+				Image: pl.def.Image, Group: string(ref.Task.Job), Tail: float64(pl.tail), Target: float64(pl.def.Target),
+			})
 		}
 	}
 	s.Filling = blamer.Fillings(used)
@@ -105,6 +107,7 @@
 		p.end(ref, cowslipbend.EndLapsed, "")
 	}
 	delete(p.hosts, h.life)
+	p.blame.Forget(string(h.life))
 }
 
 // lists compares what a host tells with what is known of it.
--- a/warden/hold.go
+++ b/warden/hold.go
@@ -148,12 +148,12 @@
 
 // pacing reports whether filling runs work beside serving ones.
 func (w *Warden) pacing() bool {
-	fills, serves := false, false
 	for _, r := range w.runs {
-		fills = fills || r.fills
-		serves = serves || r.target > 0
+		if r.target > 0 {
+			return true
+		}
 	}
-	return fills && serves
+	return false
 }
 
 // steerEvery is the time between two changes of the pace: a tail is a figure
@@ -172,23 +172,51 @@
 	changes := w.paces()
 	w.mu.Unlock()
 	for ref, percent := range changes {
-		if err := w.runner.Pace(ctx, life, ref, percent, epoch); err != nil {
-			w.log.Warn("run was not paced", "task", ref.Task.String(), "run", ref.Run, "percent", percent, "error", err)
-			continue
-		}
-		w.settings.Gauge.Paced()
-		w.mu.Lock()
-		if r := w.runs[ref]; r != nil {
-			r.percent = percent
-		}
+		w.setPace(ctx, life, ref, percent, epoch)
+	}
+}
+
+func (w *Warden) setPace(ctx context.Context, life cowslipbend.Incarnation, ref cowslipbend.RunRef, percent int, epoch cowslipbend.Epoch) {
+	if err := w.runner.Pace(ctx, life, ref, percent, epoch); err != nil {
+		w.log.Warn("run was not paced", "task", ref.Task.String(), "run", ref.Run, "percent", percent, "error", err)
+		return
+	}
+	w.settings.Gauge.Paced()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r := w.runs[ref]; r != nil {
+		r.percent = percent
+	}
+}
+
+// admit sets the pace of a filling run that has just begun.
+func (w *Warden) admit(ctx context.Context, ref cowslipbend.RunRef) {
+	w.mu.Lock()
+	r := w.runs[ref]
+	if r == nil || w.host == nil {
 		w.mu.Unlock()
+		return
+	}
+	life, epoch := w.host.Life, w.epoch
+	_, filling := w.sides()
+	percent, changes := w.pace.Admit(ref, filling)
+	w.mu.Unlock()
+	if changes {
+		w.setPace(ctx, life, ref, percent, epoch)
 	}
 }
 
 // paces returns the filling runs whose pace must change.
 func (w *Warden) paces() map[cowslipbend.RunRef]int {
-	var serving []blamer.Serving
-	var filling []pacer.Run
+	serving, filling := w.sides()
+	if w.log.IsDebug() {
+		w.log.Debug("look", "life", w.host.Life, "runs", w.describe())
+	}
+	return w.pace.Decide(serving, filling)
+}
+
+// sides lists what serves and what fills on the host.
+func (w *Warden) sides() (serving []blamer.Serving, filling []pacer.Run) {
 	size := float64(max(w.host.Size.CPU, 1))
 	for i := range w.running {
 		s := &w.running[i]
@@ -200,13 +228,12 @@
 				Ref: s.RunRef, Image: r.image, Share: float64(r.cpu) / size, Used: float64(s.Tail) / size, Pace: r.percent,
 			})
 		case r.target > 0 && s.Percent == 100:
-			serving = append(serving, blamer.Serving{Image: r.image, Tail: float64(s.Tail), Target: float64(r.target)})
+			serving = append(serving, blamer.Serving{
+				Image: r.image, Group: string(s.Task.Job), Tail: float64(s.Tail), Target: float64(r.target),
+			})
 		}
 	}
-	if w.log.IsDebug() {
-		w.log.Debug("look", "life", w.host.Life, "runs", w.describe())
-	}
-	return w.pace.Decide(serving, filling)
+	return serving, filling
 }
 
 // describe lists the serving and filling runs for the log.
--- a/warden/orders.go
+++ b/warden/orders.go
@@ -148,6 +148,9 @@
 	case "":
 		res.Kind = cowslipbend.Started
 		w.taken(s.RunRef, life)
+		if s.Fills {
+			w.spawn(func(ctx context.Context) { w.admit(ctx, s.RunRef) })
+		}
 	case cowslipbend.KindUnknown:
 		w.log.Warn("start was not answered", "flow", s.Task.Job, "task", s.Task.String(), "run", s.Run, "error", err)
 		w.spawn(func(ctx context.Context) { w.stop(ctx, s.RunRef, epoch, life) })
--- a/warden/warden_test.go
+++ b/warden/warden_test.go
@@ -41,6 +41,8 @@
 	until cowslipbend.Time
 	stops []cowslipbend.RunRef
 	fence cowslipbend.Epoch
+	// paces holds the paces that were set.
+	paces map[cowslipbend.RunRef]int
 }
 
 func (r *runner) Start(_ context.Context, _ cowslipbend.Incarnation, s cowslipbend.RunStart, _ cowslipbend.Time, _ cowslipbend.Epoch) (cowslipbend.Time, error) {
@@ -69,7 +71,13 @@
 	return list, r.holds
 }
 
-func (r *runner) Pace(context.Context, cowslipbend.Incarnation, cowslipbend.RunRef, int, cowslipbend.Epoch) error {
+func (r *runner) Pace(_ context.Context, _ cowslipbend.Incarnation, ref cowslipbend.RunRef, percent int, _ cowslipbend.Epoch) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.paces == nil {
+		r.paces = map[cowslipbend.RunRef]int{}
+	}
+	r.paces[ref] = percent
 	return nil
 }
 
@@ -85,13 +93,15 @@
 	reports []cowslipbend.HostReport
 	grant   cowslipbend.Span
 	url     string
+	// pairs is what it tells of images.
+	pairs []cowslipbend.Pair
 }
 
 func (o *owner) report(_ context.Context, r *cowslipbend.HostReport) (cowslipbend.ReportReply, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.reports = append(o.reports, *r)
-	reply := cowslipbend.ReportReply{Epoch: epoch, Owner: o.url, Grant: o.grant}
+	reply := cowslipbend.ReportReply{Epoch: epoch, Owner: o.url, Grant: o.grant, Pairs: o.pairs, Version: int64(len(o.pairs))}
 	if r.Host != nil {
 		reply.Life = r.Host.Life
 	}
@@ -268,6 +278,41 @@
 	})
 }
 
+// TestAdmission plays filling work that begins beside a serving run which it
+// disturbs: the runner would let it work in full until the next look.
+func TestAdmission(t *testing.T) {
+	g := newRig(t)
+	g.owner.mu.Lock()
+	g.owner.pairs = []cowslipbend.Pair{{Serving: "web", Filling: "heavy", Press: 4}, {Serving: "web", Filling: "light", Press: 0.1}}
+	g.owner.mu.Unlock()
+	g.beat()
+	serving, heavy, light := start(0), start(1), start(2)
+	serving.Image, serving.Target = "web", 20
+	heavy.Image, heavy.Fills, heavy.CPU = "heavy", true, 2*cowslipbend.Core
+	light.Image, light.Fills, light.CPU = "light", true, 2*cowslipbend.Core
+	g.warden.Beat(cowslipbend.HostBeat{Host: cowslipbend.HostSpec{
+		Life: life, Runner: "r", Service: "ledger", Size: cowslipbend.Resources{CPU: 16 * cowslipbend.Core},
+	}, Sequence: 2})
+	g.order(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{serving}})
+	g.runner.set(func(r *runner) { r.running[0].Tail = 12 })
+	looked := g.clock.Now().Add(2 * cowslipbend.Second)
+	g.until(func() bool { return g.clock.Now() > looked })
+	// Holds fail from here on, so that nothing is looked at any more.
+	g.runner.set(func(r *runner) { r.holds = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "") })
+	g.order(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{heavy, light}})
+	paced := func(ref cowslipbend.RunRef) (percent int, set bool) {
+		g.runner.mu.Lock()
+		defer g.runner.mu.Unlock()
+		percent, set = g.runner.paces[ref]
+		return percent, set
+	}
+	g.until(func() bool { _, set := paced(heavy.RunRef); return set })
+	percent, _ := paced(heavy.RunRef)
+	assert.Assert(t, percent < 80, "%d", percent)
+	_, set := paced(light.RunRef)
+	assert.Assert(t, !set)
+}
+
 func TestLease(t *testing.T) {
 	t.Run("a lease never outlasts what the owner granted", func(t *testing.T) {
 		g := newRig(t)
