planner, conductor: a successor knows from the store which runners have started again

Ruled out: room (hosts were empty), order, the fence. Second fault, found on reading: a host that was silent until its lease had lapsed, or that its agent had given up, was never used again by the same owner, as its life was known but its host forgotten. Change: the row of agents holds the life of each runner, written with or before the first runs on it; a reported later life ends the runs of the stored one. Tests in planner fail without each half.

--- a/blamer/blamer.go
+++ b/blamer/blamer.go
@@ -1,6 +1,7 @@
 package blamer
 
 import (
+	"math"
 	"sort"
 
 	"cowslipbend.dev"
@@ -105,6 +106,13 @@
 // used all of their host.
 func (b *Blamer) Press(serving, filling string) float64 { return b.term(key{serving, filling}).load }
 
+// Caution returns a press that is seldom exceeded: the estimate and so many of
+// its standard deviations.
+func (b *Blamer) Caution(serving, filling string, deviations float64) float64 {
+	t := b.term(key{serving, filling})
+	return t.load + deviations*math.Sqrt(t.variance)
+}
+
 func (b *Blamer) term(k key) term {
 	if t, ok := b.pairs[k]; ok {
 		return t
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -172,12 +172,27 @@
 			c.log.Error("flow passed over, as its progress is damaged", "flow", def.ID, "error", err)
 		}
 	}
+	c.plan.Expect(c.agents(progress[agentsKey]), now)
 	c.cancels(work.Rows)
 	c.loaded, c.confirmed = true, now
 	c.log.Info("loaded", "flows", len(work.Rows), "progress", len(runs.Rows))
 	return work.Version, nil
 }
 
+// agents decodes the agents of the last owner. Without them the runs that it
+// placed are waited out.
+func (c *Conductor) agents(value []byte) []planner.AgentRow {
+	if value == nil {
+		return nil
+	}
+	var rows []planner.AgentRow
+	if err := json.Unmarshal(value, &rows); err != nil {
+		c.log.Warn("list of agents passed over", "row", agentsKey, "error", err)
+		return nil
+	}
+	return rows
+}
+
 // decode reads an accepted flow, or returns nil for other rows.
 func (c *Conductor) decode(row cowslipbend.Row) *cowslipbend.Flow {
 	if _, ok := cancelled(row.Key); ok {
--- a/conductor/round.go
+++ b/conductor/round.go
@@ -86,8 +86,8 @@
 		w.puts = append(w.puts, cowslipbend.Put{Key: RunKey(id), Value: value})
 	}
 	w.dels, c.forgotten = c.forgotten, nil
-	if urls, changed := c.plan.Agents(); changed {
-		value, err := json.Marshal(urls)
+	if c.plan.Joined() {
+		value, err := json.Marshal(c.plan.Agents())
 		if err != nil {
 			return nil, cowslipbend.AsError(err)
 		}
@@ -168,19 +168,16 @@
 	}
 }
 
-// greet tells the agents of the last owner who owns the flows now.
+// greet tells the agents of the last owner who owns the flows now. Agents that
+// are not told ask by themselves.
 func (c *Conductor) greet(ctx context.Context) {
-	row, err := c.table.Get(ctx, agentsKey)
-	if err != nil || row.Version == 0 {
-		return // Agents that are not told ask by themselves.
-	}
-	var urls []string
-	if err := json.Unmarshal(row.Value, &urls); err != nil {
-		c.log.Warn("list of agents is damaged", "error", err)
-		return
-	}
-	for _, url := range urls {
-		c.crew.Go(func() { c.send(ctx, planner.Parcel{URL: url, Orders: cowslipbend.HostOrders{Epoch: c.fence.Epoch()}}) })
+	c.mu.Lock()
+	rows := c.plan.Agents()
+	c.mu.Unlock()
+	for _, row := range rows {
+		c.crew.Go(func() {
+			c.send(ctx, planner.Parcel{URL: row.URL, Orders: cowslipbend.HostOrders{Epoch: c.fence.Epoch()}})
+		})
 	}
 }
 
--- a/planner/place.go
+++ b/planner/place.go
@@ -181,8 +181,12 @@
 
 // Terms of the rate at which a filling task is expected to work.
 const (
-	// aimShare is the tail that is aimed at, as a share of its target.
-	aimShare = 0.65
+	// aimShare is the tail that is aimed at, as a share of its target; the
+	// pacer has the rest.
+	aimShare = 0.75
+	// caution is by how many standard deviations a press is taken for higher
+	// than estimated, so that what is unknown comes in small doses.
+	caution = 0.5
 )
 
 // rate returns the share at which a filling task would work beside what fills
@@ -193,13 +197,13 @@
 		rate = min(rate, float64(h.idle())/float64(def.Size.CPU))
 	}
 	for image, s := range h.images {
-		press := p.blame.Press(image, def.Image) * h.share(def.Size.CPU)
+		press := p.blame.Caution(image, def.Image, caution) * h.share(def.Size.CPU)
 		if press <= 0 {
 			continue
 		}
 		room := p.blame.Goal(image, float64(s.target), aimShare) - p.blame.Own(string(h.life), image)
 		for fill, cpu := range h.fills {
-			room -= p.blame.Press(image, fill) * h.share(cpu)
+			room -= p.blame.Caution(image, fill, caution) * h.share(cpu)
 		}
 		rate = min(rate, room/press)
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -57,7 +57,7 @@
 	blame *blamer.Blamer
 	// advice is what the advisor has told of steps.
 	advice map[stepKey]*advice
-	// joined is set when the agents have changed since Agents was last called.
+	// joined is set when the agents have changed since Joined was last called.
 	joined bool
 	// outbox gathers the orders of a decision.
 	outbox map[*host]*cowslipbend.HostOrders
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -348,6 +348,20 @@
 		p.report(name)
 		assertStarts(t, p.decide(), 1)
 	})
+	t.Run("a host that was silent for long is used again", func(t *testing.T) {
+		p, name, _ := begin(t)
+		other := map[string]string{"h0": "h1", "h1": "h0"}[name]
+		silent := p.reports[name]
+		delete(p.reports, name)
+		p.pass(20 * cowslipbend.Second)
+		p.obey(p.decide())
+		delete(p.reports, other)
+		p.reports[name] = silent
+		silent.Running = nil
+		p.pass(20 * cowslipbend.Second)
+		found, _ := only(t, p.decide())
+		assert.Equal(t, found, name)
+	})
 	t.Run("a runner that was given up ends its runs", func(t *testing.T) {
 		p, name, _ := begin(t)
 		p.reports[name].Lost, p.reports[name].Host, p.reports[name].Running = p.reports[name].Host.Life, nil, nil
@@ -464,6 +478,37 @@
 		p.pass(2 * cowslipbend.Second)
 		assertStarts(t, p.decide(), 1)
 	})
+	t.Run("a new life of a runner ends the runs that an earlier owner placed on the old one", func(t *testing.T) {
+		p, name, _ := succeed(t)
+		p.plan.Expect([]planner.AgentRow{{URL: name, Host: "h0@1"}}, p.now)
+		p.join(name, "r0")
+		spec := *p.reports[name].Host
+		spec.Life = "h0@2"
+		p.reports[name] = &cowslipbend.HostReport{Agent: "b", URL: name, Fence: epoch, Host: &spec}
+		p.report(name)
+		_, ref := only(t, p.decide())
+		assert.Equal(t, ref.Run, cowslipbend.Attempt(2))
+	})
+	t.Run("an expected host without runs is used once it reports", func(t *testing.T) {
+		p := newPool(t, 0)
+		p.plan.Expect([]planner.AgentRow{{URL: "h0", Host: "h0@1"}}, p.now)
+		p.plan.Submit(flow("f", step(1, 1)))
+		assertStarts(t, p.decide(), 0)
+		p.join("h0", "r0")
+		assertStarts(t, p.decide(), 1)
+	})
+	t.Run("agents are told again when a runner has a new life", func(t *testing.T) {
+		p := newPool(t, 1)
+		assert.Assert(t, p.plan.Joined())
+		assert.DeepEqual(t, p.plan.Agents(), []planner.AgentRow{{URL: "h0", Host: "h0@1"}})
+		assert.Assert(t, !p.plan.Joined())
+		spec := *p.reports["h0"].Host
+		spec.Life = "h0@2"
+		p.reports["h0"].Host = &spec
+		p.report("h0")
+		assert.Assert(t, p.plan.Joined())
+		assert.DeepEqual(t, p.plan.Agents(), []planner.AgentRow{{URL: "h0", Host: "h0@2"}})
+	})
 	t.Run("damaged progress is refused", func(t *testing.T) {
 		p := newPool(t, 0)
 		f := flow("f", step(1, 1))
--- a/planner/report.go
+++ b/planner/report.go
@@ -19,7 +19,7 @@
 		}
 		return
 	}
-	if newer && a.host != r.Host.Life {
+	if newer && (a.host != r.Host.Life || p.hosts[r.Host.Life] == nil) {
 		p.replace(a, r.Host.Life)
 	}
 	h := p.hosts[r.Host.Life]
@@ -94,7 +94,7 @@
 	if old := p.hosts[a.host]; old != nil {
 		p.lose(old)
 	}
-	a.host, a.told = life, false
+	a.host, a.told, p.joined = life, false, true
 	if p.hosts[life] == nil {
 		p.hosts[life] = newHost(life)
 	}
@@ -236,16 +236,6 @@
 	}
 }
 
-// Agents returns the URLs of the known agents, and whether they have changed
-// since the last call.
-func (p *Planner) Agents() (urls []string, changed bool) {
-	changed, p.joined = p.joined, false
-	for url := range p.agents {
-		urls = append(urls, url)
-	}
-	return urls, changed
-}
-
 // Unsent takes back orders of which no byte was sent.
 func (p *Planner) Unsent(o *cowslipbend.HostOrders, now cowslipbend.Time) {
 	h := p.hosts[o.Life]
--- a/planner/row.go
+++ b/planner/row.go
@@ -35,6 +35,55 @@
 	Saved string                  `json:"c,omitempty"`
 }
 
+// AgentRow is an agent as it is stored: where it listens, and the life of its
+// runner on which runs may have been placed.
+type AgentRow struct {
+	URL  string                  `json:"u"`
+	Host cowslipbend.Incarnation `json:"h,omitempty"`
+}
+
+// Joined reports whether the agents have changed since it was last called.
+func (p *Planner) Joined() bool {
+	joined := p.joined
+	p.joined = false
+	return joined
+}
+
+// Agents returns the known agents in the order of their URLs.
+func (p *Planner) Agents() []AgentRow {
+	rows := make([]AgentRow, 0, len(p.agents))
+	for url, a := range p.agents {
+		rows = append(rows, AgentRow{URL: url, Host: a.host})
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].URL < rows[j].URL })
+	return rows
+}
+
+// Expect takes the agents of an earlier owner. One that reports another life
+// of its runner shows that all runs of the old one have ended.
+func (p *Planner) Expect(rows []AgentRow, now cowslipbend.Time) {
+	for _, row := range rows {
+		if p.agents[row.URL] != nil {
+			continue
+		}
+		p.agents[row.URL] = &agent{url: row.URL, host: row.Host, retired: map[cowslipbend.Incarnation]bool{}}
+		if row.Host != "" {
+			p.expect(row.Host, now)
+		}
+	}
+}
+
+// expect returns a host that is yet to be heard of.
+func (p *Planner) expect(life cowslipbend.Incarnation, now cowslipbend.Time) *host {
+	h := p.hosts[life]
+	if h == nil {
+		h = newHost(life)
+		h.granted = now.Add(p.opts.Inherited)
+		p.hosts[life] = h
+	}
+	return h
+}
+
 // Dirty returns the flows whose progress has changed and is not taken yet.
 func (p *Planner) Dirty() []cowslipbend.JobID {
 	ids := make([]cowslipbend.JobID, 0, len(p.dirty))
@@ -115,13 +164,7 @@
 
 // inherit notes a run of an earlier owner.
 func (p *Planner) inherit(f *flow, ref cowslipbend.RunRef, life cowslipbend.Incarnation, now cowslipbend.Time) {
-	h := p.hosts[life]
-	if h == nil {
-		h = newHost(life)
-		h.granted = now.Add(p.opts.Inherited)
-		p.hosts[life] = h
-	}
-	h.add(ref, f.step(ref.Task).def).inherited = true
+	p.expect(life, now).add(ref, f.step(ref.Task).def).inherited = true
 }
 
 // Shown returns the state that callers are told.
