warden, elector: a report to an owner that is down ends when the new one calls; an entry that starts again looks at once

Cause: after a loss of all power the successor's first start came 0.4 s after it had loaded the flows: agents were still dialing the entry that had been down, and only a report brings a lease. The entry itself waited for its next look.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -91,14 +91,16 @@
 	lost  cowslipbend.Time
 	// reached is when the owner last told that it reaches the store.
 	reached cowslipbend.Time
-	done    chan struct{}
+	// informed is signalled when the rows were read first.
+	informed chan struct{}
+	done     chan struct{}
 }
 
 // New returns an elector. Conduct makes the conductor of a fence.
 func New(self Member, store Store, caller Caller, clock cowslipbend.Clock, log hclog.Logger, conduct func(*conductor.Fence) *conductor.Conductor) *Elector {
 	return &Elector{
 		self: self, store: store, caller: caller, clock: clock, log: log, conduct: conduct,
-		members: map[cowslipbend.EntryID]Member{}, done: make(chan struct{}),
+		members: map[cowslipbend.EntryID]Member{}, informed: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 }
 
@@ -117,6 +119,7 @@
 			case <-ctx.Done():
 				return nil
 			case <-e.clock.After(look):
+			case <-e.informed: // An owner that has started again need not wait for a look.
 			}
 			if f := e.watch(ctx); f != nil {
 				g.Go(func() error { return e.reign(ctx, f) })
@@ -178,7 +181,12 @@
 func (e *Elector) take(rows []cowslipbend.Row) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.read = true
+	defer func() {
+		if !e.read {
+			e.informed <- struct{}{}
+		}
+		e.read = true
+	}()
 	for _, row := range rows {
 		if row.Key == conductor.OwnerKey {
 			var h conductor.Head
--- a/warden/orders.go
+++ b/warden/orders.go
@@ -25,12 +25,16 @@
 	for i := range o.Known {
 		w.know(&o.Known[i])
 	}
+	redirect := w.redirect
 	w.mu.Unlock()
 	if fresh {
 		// The runner must refuse earlier owners before its lists are told.
 		if err := w.hold(ctx, false); err != nil {
 			w.log.Warn("runner was not told of the new owner", "epoch", o.Epoch, "error", err)
 		}
+		if redirect != nil {
+			redirect()
+		}
 		w.kick()
 	}
 	var results []cowslipbend.RunResult
--- a/warden/report.go
+++ b/warden/report.go
@@ -32,7 +32,7 @@
 		case <-w.clock.After(reportEvery):
 		}
 		if !w.tell(ctx) {
-			w.pause(ctx, nil, reportPause)
+			w.pause(ctx, w.kicked, reportPause)
 			w.kick()
 		}
 	}
@@ -41,7 +41,10 @@
 // tell reports to the owner, and looks for it if there is no answer. It
 // reports whether the owner took the report.
 func (w *Warden) tell(ctx context.Context) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	w.mu.Lock()
+	w.redirect = cancel
 	r := w.report()
 	r.Results = w.results
 	w.results = nil
--- a/warden/warden.go
+++ b/warden/warden.go
@@ -132,6 +132,9 @@
 	released chan struct{}
 
 	kicked chan struct{}
+	// redirect ends the report that is under way, which may wait for an earlier
+	// owner that is down.
+	redirect context.CancelFunc
 	// spawn runs a function beside the others until Run ends, whatever becomes
 	// of the call that asked for it; it reports false once Run has ended.
 	spawn func(func(context.Context)) bool
--- a/warden/warden_test.go
+++ b/warden/warden_test.go
@@ -95,10 +95,25 @@
 	url     string
 	// pairs is what it tells of images.
 	pairs []cowslipbend.Pair
+	// hung makes reports wait until it is closed; waits counts those that do.
+	hung  chan struct{}
+	waits int
+}
+
+func (o *owner) waiting() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.waits > 0
 }
 
 func (o *owner) report(_ context.Context, r *cowslipbend.HostReport) (cowslipbend.ReportReply, error) {
 	o.mu.Lock()
+	if hung := o.hung; hung != nil {
+		o.waits++
+		o.mu.Unlock()
+		<-hung
+		return cowslipbend.ReportReply{}, cowslipbend.Fail(cowslipbend.KindBusy, "too late", "report again")
+	}
 	defer o.mu.Unlock()
 	o.reports = append(o.reports, *r)
 	reply := cowslipbend.ReportReply{Epoch: epoch, Owner: o.url, Grant: o.grant, Pairs: o.pairs, Version: int64(len(o.pairs))}
@@ -215,6 +230,26 @@
 		r := g.order(&cowslipbend.HostOrders{Epoch: epoch + 1})
 		assert.Equal(t, r.Fence, cowslipbend.Epoch(epoch+1))
 	})
+	t.Run("a report that waits for an earlier owner is given up for the new one", func(t *testing.T) {
+		g := newRig(t)
+		g.beat()
+		hung := make(chan struct{})
+		g.owner.mu.Lock()
+		g.owner.hung = hung
+		g.owner.mu.Unlock()
+		g.until(func() bool { return g.owner.waiting() })
+		g.owner.mu.Lock()
+		g.owner.hung = nil
+		count := len(g.owner.reports)
+		g.owner.mu.Unlock()
+		g.order(&cowslipbend.HostOrders{Epoch: epoch + 1})
+		g.until(func() bool {
+			g.owner.mu.Lock()
+			defer g.owner.mu.Unlock()
+			return len(g.owner.reports) > count
+		})
+		close(hung)
+	})
 	t.Run("orders for another life are not carried out", func(t *testing.T) {
 		g := newRig(t)
 		g.beat()
