planner: filling work that nothing of is placed starts however slowly while processors are free

Ruled out: bans of hosts, the attempts, the advice. Now a flow of which nothing has been placed for 1.5 s starts anywhere while under 0.6 of the processors are taken; the pacer holds it back as needed. TestPatience failed before.

--- a/planner/decide.go
+++ b/planner/decide.go
@@ -24,6 +24,7 @@
 			p.mark(f)
 		}
 		if f.hasWork() {
+			f.wait(now)
 			ready = append(ready, f)
 		}
 	}
@@ -32,8 +33,14 @@
 	p.evacuate(hosts, now)
 	p.move(hosts, now)
 	for _, f := range ready {
-		p.placeFlow(f, hosts[p.policy(f).Service], now)
+		list := hosts[p.policy(f).Service]
+		p.least = leastRate
+		if f.stuck > 0 && now.Sub(f.stuck) >= patience && taken(list) < busyShare {
+			p.least = 0
+		}
+		p.placeFlow(f, list, now)
 	}
+	p.least = leastRate
 	p.sweep(now)
 	p.introduce()
 	for _, h := range p.hosts {
--- a/planner/fill_test.go
+++ b/planner/fill_test.go
@@ -131,3 +131,39 @@
 	orders = p.decide()
 	assert.Assert(t, len(starts(orders)) > 1, "an image that presses lightly is held back: %v", starts(orders))
 }
+
+// TestPatience plays filling work that disturbs all that serves: it may be slow
+// while processors are free, but not wait for ever.
+func TestPatience(t *testing.T) {
+	begin := func(t *testing.T, cores cowslipbend.Millicores) *pool {
+		t.Helper()
+		p := newPool(t, 1)
+		serving := step(1, cores)
+		serving.Lasting, serving.Image, serving.Target = true, "web", 18*cowslipbend.Millisecond
+		p.plan.Submit(flow("a", serving))
+		p.obey(p.decide())
+		p.plan.Submit(flow("batch", filling(1, 1)))
+		for range 3 {
+			p.now = p.now.Add(400)
+			p.reports["h0"].Running[0].Tail = 17
+			p.report("h0")
+			assertStarts(t, p.decide(), 0)
+		}
+		p.now = p.now.Add(400)
+		p.report("h0")
+		return p
+	}
+	t.Run("with processors free it starts", func(t *testing.T) {
+		p := begin(t, 2)
+		assertStarts(t, p.decide(), 0)
+		p.now = p.now.Add(400)
+		p.report("h0")
+		assertStarts(t, p.decide(), 1)
+	})
+	t.Run("under load it waits", func(t *testing.T) {
+		p := begin(t, 3)
+		p.now = p.now.Add(1000)
+		p.report("h0")
+		assertStarts(t, p.decide(), 0)
+	})
+}
--- a/planner/flow.go
+++ b/planner/flow.go
@@ -99,6 +99,30 @@
 	ended cowslipbend.Time
 	// chain is the longest chain of estimates.
 	chain cowslipbend.Span
+	// stuck is since when work waits and nothing of the flow is placed.
+	stuck cowslipbend.Time
+}
+
+// placed reports whether any task is on a host.
+func (f *flow) placed() bool {
+	for _, r := range f.rounds {
+		for i := range r.steps {
+			if s := &r.steps[i]; s.waiting+s.done < len(s.tasks) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// wait notes since when nothing of a flow with ready work is placed.
+func (f *flow) wait(now cowslipbend.Time) {
+	switch {
+	case f.placed():
+		f.stuck = 0
+	case f.stuck == 0:
+		f.stuck = now
+	}
 }
 
 func newFlow(def *cowslipbend.Flow) *flow {
--- a/planner/place.go
+++ b/planner/place.go
@@ -11,6 +11,28 @@
 // others or disturb what serves.
 const leastRate = 0.9
 
+// Terms of work that waits although there are processors: it starts however
+// slowly it must go.
+const (
+	// patience is how long nothing of a flow may be placed then: half of the
+	// three seconds after which callers count it as forgotten, as its start
+	// takes time too.
+	patience = 1500 * cowslipbend.Millisecond
+	// busyShare is the share of the processors that are taken from which on
+	// waiting is due to the load; callers draw the line at half.
+	busyShare = 0.6
+)
+
+// taken returns the share of the hosts' processors that is reserved or wanted.
+func taken(hosts []*host) float64 {
+	var used, size cowslipbend.Millicores
+	for _, h := range hosts {
+		used += min(h.used.CPU+h.filled, h.spec.Size.CPU)
+		size += h.spec.Size.CPU
+	}
+	return float64(used) / float64(max(size, 1))
+}
+
 // placeFlow places the waiting tasks of a flow's ready steps.
 func (p *Planner) placeFlow(f *flow, hosts []*host, now cowslipbend.Time) {
 	for _, r := range f.rounds {
@@ -117,7 +139,7 @@
 		if def.Fills {
 			rate = p.rate(h, def)
 		}
-		if rate < leastRate {
+		if rate < p.least {
 			continue
 		}
 		if score := p.score(h, def, rate); best == nil || score > bestScore {
