cowslip, explainer: the story of a flow from the logs of all processes

An on-call engineer had to sort lines of three entries and eleven agents by hand, and to look up which hosts and owners belonged to a run. cowslip explain ID reads files or a pipe, with or without a collector's prefix, and shows the lines in order, with what became of the hosts and the owner in between; dropped lines are told.

--- /dev/null
+++ b/cowslip/explain.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/explainer"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "explain", ArgsUsage: "ID [FILE...]",
+		Usage: "tell the story of a flow from the logs of entries and agents",
+		Description: "Reads the JSON lines of all processes from files, or from standard input if\n" +
+			"none or - is given. Text before a JSON object is passed over; its last word\n" +
+			"names the process. Times are milliseconds since the first line.",
+		Flags:  []cli.Flag{jsonFlag()},
+		Action: explain,
+	}
+}
+
+func explain(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return cowslipbend.Invalid(c.FullName(), "needs the id of a flow", "see "+c.FullName()+" --help")
+	}
+	story, err := readLogs(c, c.Args().First(), c.Args().Tail())
+	if err != nil {
+		return err
+	}
+	out := c.Root().Writer
+	if c.Bool("json") {
+		return writeJSON(out, story)
+	}
+	t := newTable(out, "MS", "PROCESS", "MODULE", "WHAT", "FIELDS")
+	first := story.Events[0].At
+	for i := range story.Events {
+		ev := &story.Events[i]
+		t.row(fmt.Sprint(ev.At.Sub(first).Milliseconds()), ev.Source, ev.Module, ev.What, ev.Text())
+	}
+	if err := t.flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(out, summary(story))
+	if story.Dropped > 0 {
+		fmt.Fprintf(out, "the processes dropped %d log lines, so that some may be missing here\n", story.Dropped)
+	}
+	return nil
+}
+
+// readLogs reads the files, or standard input if there are none.
+func readLogs(c *cli.Command, id string, files []string) (*explainer.Story, error) {
+	e := explainer.New(cowslipbend.JobID(id))
+	if len(files) == 0 {
+		files = []string{"-"}
+	}
+	for _, name := range files {
+		if err := readLog(c, e, name); err != nil {
+			return nil, err
+		}
+	}
+	return e.Story()
+}
+
+func readLog(c *cli.Command, e *explainer.Explainer, name string) error {
+	if name == "-" {
+		return e.Read(c.Root().Reader, "stdin")
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return cowslipbend.Invalid(name, "cannot be opened", "give files with logs of entries and agents")
+	}
+	defer func() { _ = f.Close() }() // It was only read.
+	return e.Read(f, strings.TrimSuffix(filepath.Base(name), filepath.Ext(name)))
+}
+
+// summary counts what happened.
+func summary(s *explainer.Story) string {
+	labels := make([]string, 0, len(s.Counts))
+	for label := range s.Counts {
+		labels = append(labels, label)
+	}
+	sort.Strings(labels)
+	for i, label := range labels {
+		labels[i] = fmt.Sprintf("%s: %d", label, s.Counts[label])
+	}
+	return strings.Join(labels, ", ")
+}
