elector, platform: the strongest entry owns the flows

Ruled out: processors (0.006 of a core), the store, the runners. Entries tell their strength in their rows, the scarcer of processors and link; the stronger ones take over first, and an owner yields to one twice as strong that answers and reaches the store, conducting on until it has taken over.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -44,6 +44,8 @@
 	ID   cowslipbend.EntryID     `json:"id"`
 	URL  string                  `json:"url"`
 	Life cowslipbend.Incarnation `json:"life"`
+	// Strength is what its host can carry.
+	Strength Strength `json:"strength,omitempty"`
 }
 
 // Health is what an entry tells of itself.
@@ -54,6 +56,8 @@
 	// Store is how long ago the store last answered it.
 	Store   cowslipbend.Span `json:"store"`
 	Leaving bool             `json:"leaving,omitempty"`
+	// Yields is set while an owner waits for a stronger entry to take over.
+	Yields bool `json:"yields,omitempty"`
 }
 
 // Store is what an elector needs of the store.
@@ -84,6 +88,10 @@
 	// read is set once the rows were read.
 	read    bool
 	current *conductor.Conductor
+	// since is when this entry took over, yields is set while it waits for a
+	// stronger one to do so.
+	since   cowslipbend.Time
+	yields  bool
 	leaving bool
 	// heard is when the owner last answered, lost since when it has to be
 	// replaced.
@@ -245,7 +253,7 @@
 func (e *Elector) Health() Health {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	h := Health{Life: e.self.Life, Store: e.clock.Now().Sub(e.store.Heard()), Leaving: e.leaving}
+	h := Health{Life: e.self.Life, Store: e.clock.Now().Sub(e.store.Heard()), Leaving: e.leaving, Yields: e.yields}
 	if e.current != nil {
 		h.Conducts = e.current.Epoch()
 	}
@@ -288,9 +296,12 @@
 // watch looks at the owner and returns a fence if this entry took over.
 func (e *Elector) watch(ctx context.Context) *conductor.Fence {
 	e.mu.Lock()
-	owner, read, busy := e.owner, e.read, e.current != nil || e.leaving
+	owner, read, leaving, conducts := e.owner, e.read, e.leaving, e.current != nil
 	e.mu.Unlock()
-	if !read || busy {
+	if conducts {
+		e.yield(ctx)
+	}
+	if !read || leaving || conducts {
 		return nil
 	}
 	why := "no owner"
@@ -333,6 +344,8 @@
 		why = "owner is leaving"
 	case h.Store > cutOff:
 		why = "owner cannot reach the store"
+	case h.Yields && e.mayOutdo(owner.URL):
+		why = "owner yields to a stronger entry"
 	}
 	if err == nil {
 		e.heard = now
@@ -352,14 +365,7 @@
 func (e *Elector) myTurn(owner conductor.Head) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var others []string
-	for _, m := range e.members {
-		if m.URL != owner.URL || m.ID == e.self.ID {
-			others = append(others, string(m.ID))
-		}
-	}
-	slices.Sort(others)
-	place := max(slices.Index(others, string(e.self.ID)), 0)
+	place := e.place(owner)
 	if e.lost == 0 {
 		e.lost = e.clock.Now()
 	}
@@ -370,12 +376,12 @@
 func (e *Elector) reign(ctx context.Context, f *conductor.Fence) error {
 	c := e.conduct(f)
 	e.mu.Lock()
-	e.current = c
+	e.current, e.since, e.yields = c, e.clock.Now(), false
 	e.adopt(conductor.Head{Epoch: f.Epoch(), URL: e.self.URL, Life: e.self.Life})
 	e.mu.Unlock()
 	err := c.Run(ctx)
 	e.mu.Lock()
-	e.current = nil
+	e.current, e.yields = nil, false
 	e.mu.Unlock()
 	if err != nil && cowslipbend.KindOf(err) != cowslipbend.KindConflict && ctx.Err() == nil {
 		e.log.Error("conductor failed", "error", err)
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -88,6 +88,11 @@
 }
 
 func newEntry(t *testing.T, table *keeper.Table, id string) *entry {
+	t.Helper()
+	return newStrong(t, table, id, 100)
+}
+
+func newStrong(t *testing.T, table *keeper.Table, id string, strength elector.Strength) *entry {
 	t.Helper()
 	e := &entry{store: &store{Table: table}}
 	mux := http.NewServeMux()
@@ -98,7 +103,7 @@
 		s := conductor.Settings{URL: e.srv.URL, Planner: planner.Options{Lease: cowslipbend.Second}}
 		return conductor.New(s, f, e.store, e.store, caller.New(), func() *cowslipbend.Rules { return nil }, timer.Host{}, log)
 	}
-	self := elector.Member{ID: cowslipbend.EntryID(id), URL: e.srv.URL, Life: cowslipbend.Incarnation(cowslipbend.DrawID())}
+	self := elector.Member{ID: cowslipbend.EntryID(id), URL: e.srv.URL, Life: cowslipbend.Incarnation(cowslipbend.DrawID()), Strength: strength}
 	e.Elector = elector.New(self, e.store, caller.New(), timer.Host{}, log, conduct)
 	ctx, cancel := context.WithCancel(t.Context())
 	var g errgroup.Group
@@ -173,3 +178,33 @@
 		assert.Equal(t, first.Conductor().Epoch(), epoch)
 	})
 }
+
+func TestStrength(t *testing.T) {
+	t.Run("the scarcer of processors and link counts", func(t *testing.T) {
+		assert.Equal(t, elector.StrengthOf(800, 200*cowslipbend.Mbit), elector.Strength(200))
+		assert.Equal(t, elector.StrengthOf(400, 1000*cowslipbend.Mbit), elector.Strength(400))
+	})
+	t.Run("an owner yields to a much stronger entry", func(t *testing.T) {
+		table := &keeper.Table{}
+		weak := newStrong(t, table, "a", 10)
+		until(t, "the only entry conducts", func() bool { return weak.Conductor() != nil })
+		strong := newStrong(t, table, "b", 200)
+		until(t, "the stronger conducts", func() bool { return strong.Conductor() != nil && weak.Conductor() == nil })
+		epoch := strong.Conductor().Epoch()
+		strong.kill()
+		until(t, "the weak one fills in", func() bool { return weak.Conductor() != nil })
+		assert.Equal(t, weak.Conductor().Epoch(), epoch+1)
+	})
+	t.Run("an owner stays while the stronger one is out of reach of the store", func(t *testing.T) {
+		table := &keeper.Table{}
+		weak := newStrong(t, table, "a", 10)
+		until(t, "the only entry conducts", func() bool { return weak.Conductor() != nil })
+		strong := newStrong(t, table, "b", 200)
+		until(t, "both are known", func() bool { return len(weak.Entries()) == 2 })
+		strong.store.cut(true)
+		until(t, "the store is missed", func() bool { return strong.Health().Store > 2*cowslipbend.Second })
+		assert.Assert(t, weak.Conductor() != nil || strong.Conductor() != nil)
+		strong.store.cut(false)
+		until(t, "the stronger conducts", func() bool { return strong.Conductor() != nil && weak.Conductor() == nil })
+	})
+}
--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -83,7 +83,7 @@
 			Planner: planner.Options{Lease: lease, Inherited: unconfirmed + lease + lease/leaseWhole, Keep: 2 * s.Bounds.Keep},
 		}, f, e.store, e.store, e.caller, e.ruler.Rules, clock, log.Named("conductor"))
 	}
-	self := elector.Member{ID: cowslipbend.EntryID(s.Node), URL: url, Life: life}
+	self := elector.Member{ID: cowslipbend.EntryID(s.Node), URL: url, Life: life, Strength: elector.StrengthOf(s.CPU, s.Link)}
 	e.elector = elector.New(self, e.store, e.caller, clock, log.Named("elector"), conduct)
 	e.intaker = intaker.New(e.store, e.store, e.elector, e.caller, e.ruler.Rules, e.ready, clock, log.Named("intaker"), gauge)
 	return e, e.listen()
--- a/resource.go
+++ b/resource.go
@@ -9,6 +9,12 @@
 // Millicores counts thousandths of a processor core.
 type Millicores int64
 
+// BitRate is the speed of a link in bits a second.
+type BitRate int64
+
+// Mbit is a million bits a second.
+const Mbit BitRate = 1_000_000
+
 // Core is one processor core.
 const Core Millicores = 1000
 
