stand/soaker: a soak of the real programs as processes, with faults from outside

The stand-in of the runner now lets a hold wait, ends runs at their leases without being asked, and checks the order of steps.

--- a/stand/hostrunner/hostrunner.go
+++ b/stand/hostrunner/hostrunner.go
@@ -5,10 +5,14 @@
 package hostrunner
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,12 +29,76 @@
 	mu      sync.Mutex
 	running map[string]string
 	noted   map[string]bool
-	faults  []string
-	starts  int
+	// done holds the tasks that have ended so, widths the counts of the steps
+	// of every job if they are all alike.
+	done   map[string]bool
+	widths []int
+	// ran holds the jobs of which a task has begun.
+	ran    map[string]bool
+	faults []string
+	starts int
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{running: map[string]string{}, noted: map[string]bool{}} }
+func NewPool() *Pool {
+	return &Pool{running: map[string]string{}, noted: map[string]bool{}, done: map[string]bool{}, ran: map[string]bool{}}
+}
+
+// Expect tells that all jobs have steps with these counts of tasks, each after
+// the one before, so that their order is checked.
+func (p *Pool) Expect(widths ...int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.widths = widths
+}
+
+// Ran reports whether any task of the job has begun.
+func (p *Pool) Ran(job string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ran[job]
+}
+
+// Busy lists the tasks that run.
+func (p *Pool) Busy() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.running))
+}
+
+// begin notes the start of a task and what is wrong with it.
+func (p *Pool) begin(task, name string) {
+	p.starts++
+	if where, twice := p.running[task]; twice {
+		p.faults = append(p.faults, fmt.Sprintf("%s starts on %s and runs on %s", task, name, where))
+	}
+	if p.noted[task] {
+		p.faults = append(p.faults, task+" starts after its end was noted")
+	}
+	p.running[task] = name
+	job, round, step, ok := parts(task)
+	p.ran[job] = true
+	for i := range step {
+		if !ok || i >= len(p.widths) {
+			return
+		}
+		for n := range p.widths[i] {
+			if before := fmt.Sprintf("%s.%s.%d.%d", job, round, i, n); !p.done[before] {
+				p.faults = append(p.faults, task+" starts before "+before+" is done")
+			}
+		}
+	}
+}
+
+// parts splits a task's name.
+func parts(task string) (job, round string, step int, ok bool) {
+	p := strings.Split(task, ".")
+	if len(p) != 4 {
+		return task, "", 0, false
+	}
+	step, err := strconv.Atoi(p[2])
+	return p[0], p[1], step, err == nil
+}
 
 // Faults lists what must not have happened.
 func (p *Pool) Faults() []string {
@@ -68,6 +136,7 @@
 	next    int64
 	seq     int64
 	deaf    bool
+	crashed bool
 }
 
 type end struct {
@@ -122,7 +191,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	r.await(req.Context(), &c)
 	r.mu.Lock()
+	if r.crashed {
+		r.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	r.settle()
 	body := map[string]any{"clock_ms": timer.Host{}.Now(), "born": r.born}
 	code := http.StatusConflict
@@ -142,19 +216,58 @@
 	_ = json.NewEncoder(w).Encode(body) // The agent asks again.
 }
 
+// awaitTime is the pause between two looks of a hold that waits.
+const awaitTime = 5 * time.Millisecond
+
+// await waits as long as a hold asks for, or until a run has ended.
+func (r *Runner) await(ctx context.Context, c *call) {
+	for end := time.Now().Add(time.Duration(c.Wait) * time.Millisecond); time.Now().Before(end); {
+		r.mu.Lock()
+		r.settle()
+		ended := r.crashed || len(r.ends) > 0 && r.ends[len(r.ends)-1].number > c.Acked
+		r.mu.Unlock()
+		if ended {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(awaitTime):
+		}
+	}
+}
+
 // settle ends the runs whose work is done, and all if the lease has lapsed.
 func (r *Runner) settle() {
 	now := timer.Host{}.Now()
 	for _, x := range r.runs {
 		switch {
+		case r.lease < min(now, x.ends):
+			r.end(x, "lapsed")
 		case now >= x.ends:
 			r.end(x, "done")
-		case r.lease < now:
-			r.end(x, "lapsed")
 		}
 	}
 }
 
+// Tick ends what has ended by now; without calls nothing else does.
+func (r *Runner) Tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settle()
+}
+
+// Crash ends all runs at once and answers no more.
+func (r *Runner) Crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settle()
+	for _, x := range r.runs {
+		r.end(x, "lapsed")
+	}
+	r.crashed = true
+}
+
 func (r *Runner) end(x *run, how string) {
 	delete(r.runs, x.task)
 	r.ends = append(r.ends, end{r.next, *x, how})
@@ -162,6 +275,7 @@
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
 	delete(r.pool.running, x.task)
+	r.pool.done[x.task] = r.pool.done[x.task] || how == "done"
 }
 
 func (r *Runner) start(c *call, body map[string]any) int {
@@ -186,14 +300,7 @@
 	r.runs[c.Task] = &run{task: c.Task, number: c.Run, ends: now.Add(length)}
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
-	r.pool.starts++
-	if where, twice := r.pool.running[c.Task]; twice {
-		r.pool.faults = append(r.pool.faults, fmt.Sprintf("%s starts on %s and runs on %s", c.Task, r.name, where))
-	}
-	if r.pool.noted[c.Task] {
-		r.pool.faults = append(r.pool.faults, c.Task+" starts after its end was noted")
-	}
-	r.pool.running[c.Task] = r.name
+	r.pool.begin(c.Task, r.name)
 	return http.StatusOK
 }
 
--- a/stand/main.go
+++ b/stand/main.go
@@ -15,6 +15,6 @@
 	return &cli.Command{
 		Name:     "stand",
 		Usage:    "stand-ins for the platform, workers and callers",
-		Commands: []*cli.Command{tryCommand(), platformCommand(), workerCommand(), loadCommand(), measureCommand(), idleCommand()},
+		Commands: []*cli.Command{tryCommand(), platformCommand(), workerCommand(), loadCommand(), measureCommand(), idleCommand(), soakCommand()},
 	}
 }
