--- a/planner/decide.go
+++ b/planner/decide.go
@@ -24,7 +24,7 @@
 			p.mark(f)
 		}
 		if f.hasWork() {
-			f.wait(now)
+			f.noteStuck(now)
 			ready = append(ready, f)
 		}
 	}
@@ -34,10 +34,7 @@
 	p.move(hosts, now)
 	for _, f := range ready {
 		list := hosts[p.policy(f).Service]
-		p.least = leastRate
-		if f.stuck > 0 && now.Sub(f.stuck) >= patience && taken(list) < busyShare {
-			p.least = 0
-		}
+		p.least = leastFor(f, list, now)
 		p.placeFlow(f, list, now)
 	}
 	p.least = leastRate
--- a/planner/flow.go
+++ b/planner/flow.go
@@ -115,8 +115,8 @@
 	return false
 }
 
-// wait notes since when nothing of a flow with ready work is placed.
-func (f *flow) wait(now cowslipbend.Time) {
+// noteStuck notes since when nothing of a flow with ready work is placed.
+func (f *flow) noteStuck(now cowslipbend.Time) {
 	switch {
 	case f.placed():
 		f.stuck = 0
--- a/planner/place.go
+++ b/planner/place.go
@@ -23,6 +23,15 @@
 	busyShare = 0.6
 )
 
+// leastFor returns the rate at which filling work of the flow must be expected
+// to go, none if the flow has waited long beside processors that are free.
+func leastFor(f *flow, hosts []*host, now cowslipbend.Time) float64 {
+	if f.stuck > 0 && now.Sub(f.stuck) >= patience && taken(hosts) < busyShare {
+		return 0
+	}
+	return leastRate
+}
+
 // taken returns the share of the hosts' processors that is reserved or wanted.
 func taken(hosts []*host) float64 {
 	var used, size cowslipbend.Millicores
--- a/warden/hold.go
+++ b/warden/hold.go
@@ -75,7 +75,7 @@
 	life, until, acked, epoch := w.host.Life, w.until(w.lease), w.acked, w.epoch
 	span := cowslipbend.Span(0)
 	if wait && w.synced && len(w.ends) == 0 {
-		if span = holdWait; w.pacing() {
+		if span = holdWait; w.serves() {
 			span = holdPace
 		}
 	}
@@ -146,8 +146,9 @@
 	}
 }
 
-// pacing reports whether filling runs work beside serving ones.
-func (w *Warden) pacing() bool {
+// serves reports whether any run serves: its tail is followed also before
+// filling work begins beside it.
+func (w *Warden) serves() bool {
 	for _, r := range w.runs {
 		if r.target > 0 {
 			return true
--- a/warden/warden.go
+++ b/warden/warden.go
@@ -28,7 +28,7 @@
 	// reportPause is the pause after a report that nobody took.
 	reportPause = 150 * cowslipbend.Millisecond
 	// holdWait is how long a hold waits for an end, holdPace the same while
-	// runs are paced, whose tails change twice a second.
+	// runs serve, whose tails change twice a second.
 	holdWait = 1000 * cowslipbend.Millisecond
 	holdPace = 300 * cowslipbend.Millisecond
 	// holdPause is the pause while ends wait to be acknowledged, as a hold
