--- a/agent/joiner/joiner.go
+++ b/agent/joiner/joiner.go
@@ -31,10 +31,8 @@
 	caller   *caller.Caller
 	runner   *platform.Runner
 	warden   *warden.Warden
-	main     *server.Server
-	control  *server.Server
-	// ops serves the metrics, if a port was given.
-	ops *server.Server
+	// servers begins with the one for the owner's orders.
+	servers []*server.Server
 }
 
 // New opens the listeners of an agent.
@@ -52,21 +50,12 @@
 	server.Ops(ops, reg, func() error { return nil })
 	a.warden.Serve(mux)
 	var err error
-	if a.main, err = server.Listen(s.Internal(), mux); err != nil {
-		return nil, err
-	}
-	if a.control, err = server.Listen(s.Control, platform.ControlHandler(a.warden)); err != nil {
-		a.main.Close()
-		return nil, err
-	}
-	if addr := s.Metrics(); addr != "" {
-		if a.ops, err = server.Listen(addr, ops); err != nil {
-			a.main.Close()
-			a.control.Close()
-			return nil, err
-		}
-	}
-	return a, nil
+	a.servers, err = server.ListenAll(
+		server.Address{Addr: s.Internal(), Handler: mux},
+		server.Address{Addr: s.Control, Handler: platform.ControlHandler(a.warden)},
+		server.Address{Addr: s.Metrics(), Handler: ops},
+	)
+	return a, err
 }
 
 // owner reads from the store who owns the flows; it is asked when no entry
@@ -88,10 +77,8 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, work := errgroup.WithContext(work)
-	g.Go(a.main.Run)
-	g.Go(a.control.Run)
-	if a.ops != nil {
-		g.Go(a.ops.Run)
+	for _, s := range a.servers {
+		g.Go(s.Run)
 	}
 	g.Go(func() error { return a.warden.Run(work) })
 	g.Go(func() error {
@@ -102,11 +89,10 @@
 		closing, cancel := context.WithTimeout(context.Background(), closeTime.Duration())
 		defer cancel()
 		// Orders in flight are answered before the rest stops.
-		a.main.Shutdown(closing)
+		a.servers[0].Shutdown(closing)
 		stop()
-		a.control.Shutdown(closing)
-		if a.ops != nil {
-			a.ops.Shutdown(closing)
+		for _, s := range a.servers[1:] {
+			s.Shutdown(closing)
 		}
 		a.runner.Close()
 		a.caller.Close()
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -161,7 +161,7 @@
 func (e *Elector) follow(ctx context.Context) error {
 	var version int64
 	for ctx.Err() == nil {
-		changes, err := e.changes(ctx, version)
+		changes, err := cowslipbend.Read(ctx, e.store, conductor.TableEntry, version, feedWait)
 		if err != nil {
 			if cowslipbend.KindOf(err) == cowslipbend.KindStale {
 				version = 0
@@ -179,13 +179,6 @@
 	return nil
 }
 
-func (e *Elector) changes(ctx context.Context, version int64) (cowslipbend.Changes, error) {
-	if version == 0 {
-		return e.store.Snapshot(ctx, conductor.TableEntry)
-	}
-	return e.store.Changes(ctx, conductor.TableEntry, version, feedWait)
-}
-
 func (e *Elector) take(rows []cowslipbend.Row) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -93,29 +93,15 @@
 func (e *Entry) listen() error {
 	control, ops := http.NewServeMux(), http.NewServeMux()
 	server.Ops(ops, e.metrics, e.ready)
-	for _, l := range []struct {
-		addr    string
-		handler http.Handler
-	}{
-		{e.settings.Internal(), e.internal()},
-		{e.settings.Front, platform.NewFront(e.intaker)},
-		{e.settings.Ready, platform.ReadyHandler(e.intaker)},
-		{e.settings.Control, control},
-		{e.settings.Metrics(), ops},
-	} {
-		if l.addr == "" {
-			continue
-		}
-		s, err := server.Listen(l.addr, l.handler)
-		if err != nil {
-			for _, s := range e.servers {
-				s.Close()
-			}
-			return err
-		}
-		e.servers = append(e.servers, s)
-	}
-	return nil
+	var err error
+	e.servers, err = server.ListenAll(
+		server.Address{Addr: e.settings.Internal(), Handler: e.internal()},
+		server.Address{Addr: e.settings.Front, Handler: platform.NewFront(e.intaker)},
+		server.Address{Addr: e.settings.Ready, Handler: platform.ReadyHandler(e.intaker)},
+		server.Address{Addr: e.settings.Control, Handler: control},
+		server.Address{Addr: e.settings.Metrics(), Handler: ops},
+	)
+	return err
 }
 
 // internal serves the agents and the other entries.
--- a/executor/client.go
+++ b/executor/client.go
@@ -19,6 +19,7 @@
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/internal/dialer"
+	"cowslipbend.dev/internal/server"
 )
 
 // maxReply bounds what is read from the worker.
@@ -111,11 +112,7 @@
 		return cowslipbend.Failf(cowslipbend.KindDown, err, "try again", "worker's answer broke off")
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		var e cowslipbend.Error
-		if json.Unmarshal(data, &e) == nil && e.Kind != "" {
-			return &e
-		}
-		return cowslipbend.Fail(cowslipbend.KindBroken, "worker answered "+resp.Status, "look at the worker's log")
+		return server.ReadError("worker", resp.Status, data)
 	}
 	if out == nil {
 		return nil
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -58,11 +58,7 @@
 		return cowslipbend.Failf(cowslipbend.KindUnknown, err, "ask again", "peer's answer broke off")
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		var e cowslipbend.Error
-		if json.Unmarshal(data, &e) == nil && e.Kind != "" {
-			return &e
-		}
-		return cowslipbend.Fail(cowslipbend.KindBroken, "peer answered "+resp.Status, "look at the peer's log")
+		return server.ReadError("peer", resp.Status, data)
 	}
 	if out == nil || len(data) == 0 {
 		return nil
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -45,6 +45,31 @@
 	return Serve(ln, h), nil
 }
 
+// Address is where a handler listens. An empty one is not served.
+type Address struct {
+	Addr    string
+	Handler http.Handler
+}
+
+// ListenAll opens the addresses in their order, or closes all if one fails.
+func ListenAll(addresses ...Address) ([]*Server, error) {
+	var all []*Server
+	for _, a := range addresses {
+		if a.Addr == "" {
+			continue
+		}
+		s, err := Listen(a.Addr, a.Handler)
+		if err != nil {
+			for _, s := range all {
+				s.Close()
+			}
+			return nil, err
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
+
 // Wrap puts something around a listener; nil leaves it as it is.
 type Wrap func(net.Listener) net.Listener
 
@@ -174,3 +199,13 @@
 	w.WriteHeader(Status(e.Kind))
 	_ = json.NewEncoder(w).Encode(e)
 }
+
+// ReadError returns the error that WriteError has put into an answer's body.
+// Any other body is told as broken, with the name of who answered.
+func ReadError(who, status string, body []byte) *cowslipbend.Error {
+	var e cowslipbend.Error
+	if json.Unmarshal(body, &e) == nil && e.Kind != "" {
+		return &e
+	}
+	return cowslipbend.Fail(cowslipbend.KindBroken, who+" answered "+status, "look at the "+who+"'s log")
+}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -34,10 +34,8 @@
 	p.move(hosts, now)
 	for _, f := range ready {
 		list := hosts[p.policy(f).Service]
-		p.least = leastFor(f, list, now)
-		p.placeFlow(f, list, now)
+		p.placeFlow(f, list, leastFor(f, list, now), now)
 	}
-	p.least = leastRate
 	p.sweep(now)
 	p.introduce()
 	for _, h := range p.hosts {
--- a/planner/move.go
+++ b/planner/move.go
@@ -57,7 +57,7 @@
 
 // better reports whether another host suits the step much better.
 func (p *Planner) better(hosts []*host, than *host, def *cowslipbend.Step, key stepKey) bool {
-	best := p.choose(hosts, def, key, "")
+	best := p.choose(hosts, def, key, "", leastRate)
 	return best != nil && best != than && p.pressure(best, def)+betterWeight < p.pressure(than, def)
 }
 
@@ -76,7 +76,7 @@
 			if pl.def == nil || pl.def.Gang || pl.moving || !pl.confirmed || p.endsInTime(h, ref, pl, now) {
 				continue
 			}
-			if p.choose(hosts[h.spec.Service], pl.def, keyOf(ref.Task), "") != nil {
+			if p.choose(hosts[h.spec.Service], pl.def, keyOf(ref.Task), "", leastRate) != nil {
 				pl.moving = true
 				moves++
 			}
--- a/planner/place.go
+++ b/planner/place.go
@@ -42,30 +42,31 @@
 	return float64(used) / float64(max(size, 1))
 }
 
-// placeFlow places the waiting tasks of a flow's ready steps.
-func (p *Planner) placeFlow(f *flow, hosts []*host, now cowslipbend.Time) {
+// placeFlow places the waiting tasks of a flow's ready steps, filling ones where
+// they are expected to go at the least rate.
+func (p *Planner) placeFlow(f *flow, hosts []*host, least float64, now cowslipbend.Time) {
 	for _, r := range f.rounds {
 		for i := range r.steps {
 			s := &r.steps[i]
 			switch {
 			case !s.ready || s.waiting == 0:
 			case s.def.Gang:
-				p.placeGang(f, r, s, hosts, now)
+				p.placeGang(f, r, s, hosts, least, now)
 			default:
-				p.placeStep(f, r, s, hosts, now)
+				p.placeStep(f, r, s, hosts, least, now)
 			}
 		}
 	}
 }
 
-func (p *Planner) placeStep(f *flow, r *round, s *step, hosts []*host, now cowslipbend.Time) {
+func (p *Planner) placeStep(f *flow, r *round, s *step, hosts []*host, least float64, now cowslipbend.Time) {
 	rack, key := s.rack(p), stepKey{f.def.ID, r.number, s.index}
 	hosts, tickets := p.advised(f, key, hosts, now)
 	for i := range s.tasks {
 		if s.tasks[i].phase != phaseWaiting {
 			continue
 		}
-		h := p.choose(hosts, s.def, key, rack)
+		h := p.choose(hosts, s.def, key, rack, least)
 		if h == nil {
 			return
 		}
@@ -90,7 +91,7 @@
 }
 
 // placeGang places all tasks of a gang at once, or none.
-func (p *Planner) placeGang(f *flow, r *round, s *step, hosts []*host, now cowslipbend.Time) {
+func (p *Planner) placeGang(f *flow, r *round, s *step, hosts []*host, least float64, now cowslipbend.Time) {
 	if s.waiting != len(s.tasks) {
 		return
 	}
@@ -107,7 +108,7 @@
 		}
 	}
 	for i := range s.tasks {
-		h := p.choose(hosts, s.def, key, rack)
+		h := p.choose(hosts, s.def, key, rack, least)
 		if h == nil {
 			undo()
 			return
@@ -136,8 +137,9 @@
 	return saved
 }
 
-// choose returns the best host for a task of the step, or nil.
-func (p *Planner) choose(hosts []*host, def *cowslipbend.Step, key stepKey, rack cowslipbend.Rack) *host {
+// choose returns the best host for a task of the step, or nil. Filling work must
+// be expected to go at the least rate.
+func (p *Planner) choose(hosts []*host, def *cowslipbend.Step, key stepKey, rack cowslipbend.Rack, least float64) *host {
 	var best *host
 	var bestScore int64
 	for _, h := range hosts {
@@ -148,7 +150,7 @@
 		if def.Fills {
 			rate = p.rate(h, def)
 		}
-		if rate < p.least {
+		if rate < least {
 			continue
 		}
 		if score := p.score(h, def, rate); best == nil || score > bestScore {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -59,8 +59,6 @@
 	advice map[stepKey]*advice
 	// joined is set when the agents have changed since Joined was last called.
 	joined bool
-	// least is the rate at which filling work must be expected to go now.
-	least float64
 	// outbox gathers the orders of a decision.
 	outbox map[*host]*cowslipbend.HostOrders
 }
@@ -83,7 +81,7 @@
 	return &Planner{
 		opts: opts, epoch: epoch, flows: map[cowslipbend.JobID]*flow{}, early: map[cowslipbend.JobID]bool{},
 		hosts: map[cowslipbend.Incarnation]*host{}, agents: map[string]*agent{}, dirty: map[cowslipbend.JobID]bool{},
-		live: map[cowslipbend.JobID]*flow{}, blame: blamer.New(), advice: map[stepKey]*advice{}, outbox: map[*host]*cowslipbend.HostOrders{}, least: leastRate,
+		live: map[cowslipbend.JobID]*flow{}, blame: blamer.New(), advice: map[stepKey]*advice{}, outbox: map[*host]*cowslipbend.HostOrders{},
 	}
 }
 
--- a/ruler/ruler.go
+++ b/ruler/ruler.go
@@ -58,7 +58,7 @@
 	var version int64
 	lost := false
 	for ctx.Err() == nil {
-		changes, err := r.next(ctx, version)
+		changes, err := cowslipbend.Read(ctx, r.source.Feed, r.source.Table, version, feedWait)
 		if err != nil {
 			if !lost {
 				r.log.Warn("rules are not followed", "error", err)
@@ -83,15 +83,6 @@
 	return nil
 }
 
-// next waits for changes, or reads the table if it has not been read or the
-// feed broke.
-func (r *Ruler) next(ctx context.Context, version int64) (cowslipbend.Changes, error) {
-	if version == 0 {
-		return r.source.Feed.Snapshot(ctx, r.source.Table)
-	}
-	return r.source.Feed.Changes(ctx, r.source.Table, version, feedWait)
-}
-
 func (r *Ruler) adopt(row cowslipbend.Row) {
 	rules, err := r.source.Decode(row.Value)
 	if err != nil {
--- a/table.go
+++ b/table.go
@@ -72,3 +72,12 @@
 	// Now returns the store's steady clock, as far as it is known here.
 	Now() Time
 }
+
+// Read returns what has changed in a table after the version, or the whole
+// table at version 0.
+func Read(ctx context.Context, f Feed, table string, after int64, wait Span) (Changes, error) {
+	if after == 0 {
+		return f.Snapshot(ctx, table)
+	}
+	return f.Changes(ctx, table, after, wait)
+}
