--- a/internal/keeper/table.go
+++ b/internal/keeper/table.go
@@ -52,6 +52,11 @@
 func (t *Table) Scan(_ context.Context, prefix, after string, limit int) ([]cowslipbend.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.scan(prefix, after, limit), nil
+}
+
+// scan implements Scan. The caller holds the lock.
+func (t *Table) scan(prefix, after string, limit int) []cowslipbend.Row {
 	t.reads++
 	var rows []cowslipbend.Row
 	for key, row := range t.rows {
@@ -63,7 +68,7 @@
 	if len(rows) > limit {
 		rows = rows[:limit]
 	}
-	return rows, nil
+	return rows
 }
 
 // Commit applies the transaction, or returns KindConflict if a condition fails.
@@ -125,12 +130,11 @@
 	return c, nil
 }
 
-// Snapshot reads a whole table.
-func (t *Table) Snapshot(ctx context.Context, table string) (cowslipbend.Changes, error) {
-	rows, err := t.Scan(ctx, table+"/", "", math.MaxInt)
+// Snapshot reads a whole table. Changes after its version are not in its rows.
+func (t *Table) Snapshot(_ context.Context, table string) (cowslipbend.Changes, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return cowslipbend.Changes{Rows: rows, Version: t.last}, err
+	return cowslipbend.Changes{Rows: t.scan(table+"/", "", math.MaxInt), Version: t.last}, nil
 }
 
 // Now returns the store's monotonic clock, which is that of the host.
