tasker: cancel no attempt before the worker has reported its tasks

That agent did not know yet that its worker runs the attempt and reported it as stopped before its start, so that the owner started it elsewhere; the next lease resumed the first run. In the programs every order passes AcceptOrder, which refuses until the worker has reported, and the guard calls the worker itself, so that the fault is reachable only in the simulation. It is closed where it arises all the same.

Ruled out: leases of an earlier epoch and attempts that vanish from heartbeats (the records of the failing histories name neither).

TestStopBeforeStart has the case and failed before.

--- a/tasker/tasker.go
+++ b/tasker/tasker.go
@@ -268,10 +268,12 @@
 // cancelBeforeStart cancels an attempt whose order to start has not arrived, and
 // returns false for any other attempt. The attempt is refused from then on and
 // reported as ended, as the owner releases its reservation only on a report.
+// Until the worker has reported its tasks, an attempt may run there unknown to
+// this agent, so that none is cancelled.
 func (t *Tasker) cancelBeforeStart(task cowslipbend.TaskID, attempt cowslipbend.Attempt) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.isAccepted(task, attempt) || attempt <= t.newestAttempts[task].attempt {
+	if !t.hasStatus || t.isAccepted(task, attempt) || attempt <= t.newestAttempts[task].attempt {
 		return false
 	}
 	t.newestAttempts[task] = attemptRecord{attempt, t.clock.Now()}
--- a/tasker/tasker_test.go
+++ b/tasker/tasker_test.go
@@ -289,5 +289,13 @@
 			assert.NilError(t, stop(h, "a/0"), "a repeated order")
 			assert.Equal(t, len(reports(h)), 0)
 		})
+		t.Run(name+" of an attempt that a restarted agent does not know yet", func(t *testing.T) {
+			h := newHost(t)
+			assert.NilError(t, h.Start(t.Context(), start("a/0", 1), h.clock.Now()))
+			h.Tasker = tasker.New(h.m, h.clock)
+			assert.NilError(t, stop(h, "a/0"))
+			assert.Equal(t, len(reports(h)), 0, "reported as ended before the worker has ended it")
+			assert.Equal(t, h.m.tasks["a/0"].Phase, cowslipbend.Queued)
+		})
 	}
 }
