instrumenter: count the bytes of calls by path

Which kinds of message fill the link of the owner could only be guessed. Callers, the handlers of calls between processes and the client of the store now count the bytes of bodies in cowslip_call_bytes_total, by call and direction.

--- a/agent/joiner/joiner.go
+++ b/agent/joiner/joiner.go
@@ -37,10 +37,11 @@
 
 // New returns an agent with open listeners.
 func New(s platform.Settings, clock cowslipbend.Clock, log hclog.Logger) (*Agent, error) {
-	a := &Agent{settings: s, log: log, store: platform.NewStore(s.Store, clock), caller: caller.New(), runner: platform.NewRunner(s.Runner)}
 	reg := prometheus.NewRegistry()
+	instruments := instrumenter.New(reg)
+	a := &Agent{settings: s, log: log, store: platform.NewStore(s.Store, clock, instruments), caller: caller.New(instruments), runner: platform.NewRunner(s.Runner)}
 	supervisorSettings := supervisor.Settings{
-		Metrics: instrumenter.New(reg), URL: "http://" + s.InternalAddress(), Life: cowslipbend.Incarnation(cowslipbend.DrawID()), MaxLease: s.Bounds.MaxLease,
+		Metrics: instruments, URL: "http://" + s.InternalAddress(), Life: cowslipbend.Incarnation(cowslipbend.DrawID()), MaxLease: s.Bounds.MaxLease,
 	}
 	for _, ip := range s.Seeds {
 		supervisorSettings.Entries = append(supervisorSettings.Entries, s.PeerURL(ip))
@@ -51,7 +52,7 @@
 	a.supervisor.Serve(mux)
 	var err error
 	a.servers, err = server.ListenAll(
-		server.Address{Addr: s.InternalAddress(), Handler: mux},
+		server.Address{Addr: s.InternalAddress(), Handler: caller.CountBytes(mux, instruments)},
 		server.Address{Addr: s.Control, Handler: platform.ControlHandler(a.supervisor)},
 		server.Address{Addr: s.MetricsAddress(), Handler: opsMux},
 	)
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -101,10 +101,10 @@
 	log := hclog.NewNullLogger()
 	newConductor := func(f *conductor.Fence) *conductor.Conductor {
 		s := conductor.Settings{URL: e.srv.URL, Planner: planner.Options{MaxLease: cowslipbend.Second}}
-		return conductor.New(s, f, e.store, e.store, caller.New(), func() *cowslipbend.Rules { return nil }, timer.Host{}, log)
+		return conductor.New(s, f, e.store, e.store, caller.New(nil), func() *cowslipbend.Rules { return nil }, timer.Host{}, log)
 	}
 	self := elector.Member{ID: cowslipbend.EntryID(id), URL: e.srv.URL, Life: cowslipbend.Incarnation(cowslipbend.DrawID()), Strength: strength}
-	e.Elector = elector.New(self, e.store, caller.New(), timer.Host{}, log, newConductor)
+	e.Elector = elector.New(self, e.store, caller.New(nil), timer.Host{}, log, newConductor)
 	ctx, cancel := context.WithCancel(t.Context())
 	var g errgroup.Group
 	g.Go(func() error { return e.Run(ctx) })
--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -63,14 +63,17 @@
 	servers  []*server.Server
 	killed   chan struct{}
 	metrics  *prometheus.Registry
+	// instruments are the counters in metrics.
+	instruments *instrumenter.Instrumenter
 }
 
 // New creates an entry and opens its listeners.
 func New(s platform.Settings, clock cowslipbend.Clock, log hclog.Logger) (*Entry, error) {
-	e := &Entry{settings: s, clock: clock, log: log, store: platform.NewStore(s.Store, clock), caller: caller.New(), killed: make(chan struct{})}
+	e := &Entry{settings: s, clock: clock, log: log, killed: make(chan struct{})}
 	reg := meter.NewRegistry(func() float64 { return float64(e.rulesVersion()) })
 	instruments := instrumenter.New(reg)
-	e.metrics = reg
+	e.metrics, e.instruments = reg, instruments
+	e.store, e.caller = platform.NewStore(s.Store, clock, instruments), caller.New(instruments)
 	e.ruler = ruler.New(ruler.Source{Feed: e.store, Table: platform.RulesTable, Key: platform.RulesKey, Decode: platform.DecodeRules}, clock, log.Named("ruler"))
 	url := "http://" + s.InternalAddress()
 	life := cowslipbend.Incarnation(cowslipbend.DrawID())
@@ -122,7 +125,7 @@
 		reply.Entries = e.elector.EntryURLs()
 		return reply, err
 	})
-	return mux
+	return caller.CountBytes(mux, e.instruments)
 }
 
 // rulesVersion returns the version of the rules in force, or zero if none are
--- a/instrumenter/instrumenter.go
+++ b/instrumenter/instrumenter.go
@@ -24,6 +24,7 @@
 	leaseRenewals     *prometheus.CounterVec
 	paceChanges       prometheus.Counter
 	lostRunners       prometheus.Counter
+	callBytes         *prometheus.CounterVec
 }
 
 // durationBuckets are the bounds of the histograms in seconds. They range from the
@@ -56,9 +57,12 @@
 		runEnds:           counterVec("cowslip_run_ends_total", "Runs that ended, by kind of end.", "how"),
 		leaseRenewals:     counterVec("cowslip_holds_total", "Renewals of the leases of all runs at the runner, by outcome.", "outcome"),
 		paceChanges:       counter("cowslip_paces_total", "Changes of the speed limit (pace) of filling runs."),
-		lostRunners:       counter("cowslip_runners_lost_total", "Runners declared lost: nothing listened at their address, or their lease lapsed without a reply."),
+		callBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cowslip_call_bytes_total", Help: "Bytes of the bodies of calls to and from other processes and the store.",
+		}, []string{"call", "direction"}),
+		lostRunners: counter("cowslip_runners_lost_total", "Runners declared lost: nothing listened at their address, or their lease lapsed without a reply."),
 	}
-	reg.MustRegister(i.submissions, i.submissionSeconds, i.commitSeconds, i.startOrders, i.stopOrders, i.unconfirmedOrders, i.takeovers, i.startResults, i.runEnds, i.leaseRenewals, i.paceChanges, i.lostRunners)
+	reg.MustRegister(i.submissions, i.submissionSeconds, i.commitSeconds, i.startOrders, i.stopOrders, i.unconfirmedOrders, i.takeovers, i.startResults, i.runEnds, i.leaseRenewals, i.paceChanges, i.lostRunners, i.callBytes)
 	return i
 }
 
@@ -152,3 +156,12 @@
 		i.lostRunners.Inc()
 	}
 }
+
+// RecordCall counts the bytes of a call, named by its path, that this process
+// sent and received, as the caller or as the one called.
+func (i *Instrumenter) RecordCall(call string, sent, received int) {
+	if i != nil {
+		i.callBytes.WithLabelValues(call, "sent").Add(float64(sent))
+		i.callBytes.WithLabelValues(call, "received").Add(float64(received))
+	}
+}
--- a/instrumenter/instrumenter_test.go
+++ b/instrumenter/instrumenter_test.go
@@ -41,11 +41,12 @@
 		i.RecordLeaseRenewal(nil)
 		i.RecordPaceChange()
 		i.RecordLostRunner()
+		i.RecordCall("/agent/report", 200, 30)
 	}
 	for name, want := range map[string]float64{
 		"cowslip_flows_submitted_total": 2, "cowslip_flow_storing_seconds": 2, "cowslip_commit_seconds": 1, "cowslip_starts_ordered_total": 3,
 		"cowslip_stops_ordered_total": 0, "cowslip_takeovers_total": 1, "cowslip_start_results_total": 1, "cowslip_run_ends_total": 2,
-		"cowslip_holds_total": 1, "cowslip_paces_total": 1, "cowslip_runners_lost_total": 1, "cowslip_orders_unconfirmed_total": 0,
+		"cowslip_holds_total": 1, "cowslip_paces_total": 1, "cowslip_runners_lost_total": 1, "cowslip_call_bytes_total": 230, "cowslip_orders_unconfirmed_total": 0,
 	} {
 		t.Run(name, func(t *testing.T) { assert.Equal(t, value(t, reg, name), want) })
 	}
--- a/intaker/intaker_test.go
+++ b/intaker/intaker_test.go
@@ -43,7 +43,7 @@
 	t.Helper()
 	e := &testEntry{table: table, faults: keeper.NewFaults(1, timer.Host{}), owners: &fakeOwners{}}
 	rules := func() *cowslipbend.Rules { return &cowslipbend.Rules{} }
-	e.Intaker = intaker.New(e.faults.Table(table), table, e.owners, caller.New(), rules, func() error { return nil }, timer.Host{}, hclog.NewNullLogger(), nil)
+	e.Intaker = intaker.New(e.faults.Table(table), table, e.owners, caller.New(nil), rules, func() error { return nil }, timer.Host{}, hclog.NewNullLogger(), nil)
 	ctx, cancel := context.WithCancel(t.Context())
 	var g errgroup.Group
 	g.Go(func() error { return e.Run(ctx) })
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -11,6 +11,7 @@
 	"net/http"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/instrumenter"
 	"cowslipbend.dev/internal/dialer"
 	"cowslipbend.dev/internal/server"
 )
@@ -22,10 +23,16 @@
 )
 
 // Caller calls other processes. Its methods are safe for concurrent use.
-type Caller struct{ http *http.Client }
+type Caller struct {
+	http    *http.Client
+	metrics *instrumenter.Instrumenter
+}
 
-// New returns a caller without connections.
-func New() *Caller { return &Caller{http: dialer.PooledHTTP1(maxIdleConns)} }
+// New returns a caller without connections. It counts the bytes of its calls in
+// the metrics, which may be nil.
+func New(metrics *instrumenter.Instrumenter) *Caller {
+	return &Caller{http: dialer.PooledHTTP1(maxIdleConns), metrics: metrics}
+}
 
 // Close closes the idle connections.
 func (c *Caller) Close() { c.http.CloseIdleConnections() }
@@ -58,6 +65,7 @@
 	if err != nil {
 		return cowslipbend.Failf(cowslipbend.KindUnknown, err, "call again", "reply of the peer was cut off")
 	}
+	c.metrics.RecordCall(req.URL.Path, len(body), len(data))
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return server.ReadError("peer", resp.Status, data)
 	}
@@ -98,3 +106,28 @@
 		_, _ = w.Write(reply) // The caller repeats a call without a reply.
 	})
 }
+
+// CountBytes returns a handler that counts the bytes of the calls to another one.
+// All paths that the other one accepts must be fixed, as each becomes a label.
+func CountBytes(next http.Handler, metrics *instrumenter.Instrumenter) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		counted := &countingWriter{ResponseWriter: w}
+		next.ServeHTTP(counted, r)
+		if r.Pattern != "" {
+			metrics.RecordCall(r.URL.Path, counted.written, int(max(r.ContentLength, 0)))
+		}
+	})
+}
+
+// countingWriter counts the bytes of a body.
+type countingWriter struct {
+	http.ResponseWriter
+	written int
+}
+
+// Write writes a part of the body.
+func (w *countingWriter) Write(data []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(data)
+	w.written += n
+	return n, err
+}
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -153,7 +153,7 @@
 	t.Cleanup(srv.Close)
 	f.owner.url = srv.URL
 	settings := supervisor.Settings{URL: "http://agent", Entries: []string{srv.URL}, Life: "a", MaxLease: 6 * cowslipbend.Second}
-	f.supervisor = supervisor.New(settings, f.runner, caller.New(), func(context.Context) string { return "" }, clock, hclog.NewNullLogger())
+	f.supervisor = supervisor.New(settings, f.runner, caller.New(nil), func(context.Context) string { return "" }, clock, hclog.NewNullLogger())
 	ctx, cancel := context.WithCancel(t.Context())
 	var group errgroup.Group
 	group.Go(func() error { return f.supervisor.Run(ctx) })
