planner: send agents only the estimates of pairs that have changed

Cause: each reply to a report held all pairs of the host's serving images, since any observation anywhere advanced the version of all, and the addresses of all entries.

An estimate gets a new version only once it has left a tolerance around the published one; a reply holds what is newer than the version that the agent confirms, or all pairs of an image that is new on its host. The version counts with its epoch, so that a version of an earlier owner confirms nothing. Entries are sent if the hash of the agent's list differs.

The tests of lost replies, new owners and new images fail when the version is confirmed on sending.

--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -119,15 +119,25 @@
 	caller.Handle(mux, conductor.PathReport, func(ctx context.Context, r *cowslipbend.HostReport) (cowslipbend.ReportReply, error) {
 		c := e.elector.Conductor()
 		if c == nil {
-			return cowslipbend.ReportReply{Owner: e.elector.OwnerURL(), Entries: e.elector.EntryURLs()}, nil
+			return cowslipbend.ReportReply{Owner: e.elector.OwnerURL(), Entries: e.entriesFor(r)}, nil
 		}
 		reply, err := c.Report(ctx, r)
-		reply.Entries = e.elector.EntryURLs()
+		reply.Entries = e.entriesFor(r)
 		return reply, err
 	})
 	return caller.CountBytes(mux, e.instruments)
 }
 
+// entriesFor returns the URLs of all entries, or nil if the reporting agent knows
+// them.
+func (e *Entry) entriesFor(r *cowslipbend.HostReport) []string {
+	urls := e.elector.EntryURLs()
+	if cowslipbend.HashURLs(urls) == r.EntriesHash {
+		return nil
+	}
+	return urls
+}
+
 // rulesVersion returns the version of the rules in force, or zero if none are
 // loaded.
 func (e *Entry) rulesVersion() int64 {
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -47,6 +47,16 @@
 	maxPairs = 4096
 )
 
+// Tolerances of a published estimate: it gets a new version once the estimate
+// differs from it by more. Pacers correct smaller differences from the tail
+// latencies of their own host.
+const (
+	publishedMeanTolerance = 0.1
+	// publishedDeviationTolerance is the tolerance of the standard deviation, as
+	// a share of the published one.
+	publishedDeviationTolerance = 0.3
+)
+
 // Serving is the state of a serving task in a sample. Tail and Target are the
 // measured and the highest accepted tail latency in milliseconds.
 type Serving struct {
@@ -87,12 +97,33 @@
 // base load of a group.
 type estimate struct{ mean, variance float64 }
 
+// pairEstimate is the estimate of an interference coefficient. published is the
+// one of its version.
+type pairEstimate struct {
+	estimate
+	published estimate
+	version   int64
+}
+
+// publish gives the estimate the version if it has left the tolerances of the
+// published one, and reports whether it has.
+func (p *pairEstimate) publish(version int64) bool {
+	deviation, published := math.Sqrt(p.variance), math.Sqrt(p.published.variance)
+	if p.version > 0 && math.Abs(p.mean-p.published.mean) <= publishedMeanTolerance && math.Abs(deviation-published) <= publishedDeviationTolerance*published {
+		return false
+	}
+	p.published, p.version = p.estimate, version
+	return true
+}
+
 // servingGroup identifies the tasks of an image whose base loads vary together.
 type servingGroup struct{ image, name string }
 
 // Estimator holds the estimates. It is not safe for concurrent use.
 type Estimator struct {
-	pairs map[imagePair]estimate
+	pairs map[imagePair]pairEstimate
+	// fillings lists the filling images of the pairs of each serving image.
+	fillings map[string][]string
 	// minTails holds the lowest tail measured of each serving image.
 	minTails map[string]float64
 	// baseLoads holds, for each host, the base load of each group in the last
@@ -103,29 +134,35 @@
 
 // New returns an estimator that has observed nothing.
 func New() *Estimator {
-	return &Estimator{pairs: map[imagePair]estimate{}, minTails: map[string]float64{}, baseLoads: map[string]map[servingGroup]estimate{}}
+	return &Estimator{pairs: map[imagePair]pairEstimate{}, fillings: map[string][]string{}, minTails: map[string]float64{}, baseLoads: map[string]map[servingGroup]estimate{}}
 }
 
-// Version returns a number that changes whenever an estimate may have changed.
+// Version returns the version of the newest published estimate.
 func (e *Estimator) Version() int64 { return e.version }
 
+// AdvanceVersion returns a version above that of all published estimates.
+func (e *Estimator) AdvanceVersion() int64 {
+	e.version++
+	return e.version
+}
+
 // Interference returns the estimated interference coefficient: the load that
 // the filling image would add to the serving one if it used all processors of
 // their host.
 func (e *Estimator) Interference(serving, filling string) float64 {
-	return e.pairEstimate(imagePair{serving, filling}).mean
+	return e.estimateOf(imagePair{serving, filling}).mean
 }
 
 // InterferenceBound returns an upper bound of the interference coefficient: its
 // estimate plus the number of standard deviations.
 func (e *Estimator) InterferenceBound(serving, filling string, deviations float64) float64 {
-	pair := e.pairEstimate(imagePair{serving, filling})
-	return pair.mean + deviations*math.Sqrt(pair.variance)
+	est := e.estimateOf(imagePair{serving, filling})
+	return est.mean + deviations*math.Sqrt(est.variance)
 }
 
-func (e *Estimator) pairEstimate(pair imagePair) estimate {
-	if est, ok := e.pairs[pair]; ok {
-		return est
+func (e *Estimator) estimateOf(pair imagePair) estimate {
+	if known, ok := e.pairs[pair]; ok {
+		return known.estimate
 	}
 	return estimate{mean: priorInterference, variance: priorVariance}
 }
@@ -216,7 +253,7 @@
 	baseLoad.variance = min(baseLoad.variance+baseLoadDriftVariance, baseLoadVariance)
 	expected, variance := baseLoad.mean, baseLoad.variance+noiseVariance
 	for _, f := range fillings {
-		pair := e.pairEstimate(imagePair{serving, f.Image})
+		pair := e.estimateOf(imagePair{serving, f.Image})
 		expected += pair.mean * f.Share
 		variance += pair.variance * f.Share * f.Share
 	}
@@ -231,16 +268,17 @@
 			continue
 		}
 		if !ok {
-			pair = e.pairEstimate(key)
+			pair.estimate = e.estimateOf(key)
+			e.fillings[serving] = append(e.fillings[serving], f.Image)
 		}
 		gain := pair.variance * f.Share / variance
 		pair.mean = min(max(pair.mean+gain*innovation, 0), maxInterference)
 		pair.variance = pair.variance*(1-gain*f.Share) + interferenceDriftVariance
+		if pair.publish(e.version + 1) {
+			e.version++
+		}
 		e.pairs[key] = pair
 	}
-	if len(fillings) > 0 {
-		e.version++
-	}
 	gain := baseLoad.variance / variance
 	baseLoad.mean = min(max(baseLoad.mean+gain*innovation, 0), maxMeasurableLoad)
 	baseLoad.variance *= 1 - gain
@@ -253,7 +291,7 @@
 	var list []cowslipbend.ImagePair
 	for pair, est := range e.pairs {
 		if include(pair.serving) {
-			list = append(list, cowslipbend.ImagePair{Serving: pair.serving, Filling: pair.filling, Interference: est.mean, Variance: est.variance})
+			list = append(list, pair.withEstimate(est.estimate))
 		}
 	}
 	sort.Slice(list, func(i, j int) bool {
@@ -265,10 +303,43 @@
 	return list
 }
 
+// PairsSince returns the published estimates for a serving image with a version
+// above the given one.
+func (e *Estimator) PairsSince(serving string, version int64) []cowslipbend.ImagePair {
+	var list []cowslipbend.ImagePair
+	for _, filling := range e.fillings[serving] {
+		pair := imagePair{serving, filling}
+		if est := e.pairs[pair]; est.version > version {
+			list = append(list, pair.withEstimate(est.published.rounded()))
+		}
+	}
+	return list
+}
+
+// Precision of published estimates, in steps of 1.
+const (
+	meanSteps     = 1e3
+	varianceSteps = 1e4
+)
+
+func (e estimate) rounded() estimate {
+	return estimate{mean: math.Round(e.mean*meanSteps) / meanSteps, variance: math.Round(e.variance*varianceSteps) / varianceSteps}
+}
+
+func (p imagePair) withEstimate(est estimate) cowslipbend.ImagePair {
+	return cowslipbend.ImagePair{Serving: p.serving, Filling: p.filling, Interference: est.mean, Variance: est.variance}
+}
+
 // UpdatePairs replaces estimates by those of another estimator that has more
 // samples.
 func (e *Estimator) UpdatePairs(pairs []cowslipbend.ImagePair) {
 	for _, p := range pairs {
-		e.pairs[imagePair{p.Serving, p.Filling}] = estimate{mean: p.Interference, variance: p.Variance}
+		key := imagePair{p.Serving, p.Filling}
+		pair, ok := e.pairs[key]
+		if !ok {
+			e.fillings[p.Serving] = append(e.fillings[p.Serving], p.Filling)
+		}
+		pair.estimate = estimate{mean: p.Interference, variance: p.Variance}
+		e.pairs[key] = pair
 	}
 }
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -108,6 +108,22 @@
 			}
 		}
 	})
+	t.Run("only estimates that have changed are published again", func(t *testing.T) {
+		e := estimator.New()
+		simulate(e, map[string]float64{"heavy": 3}, 60)
+		version := e.Version()
+		all := e.PairsSince("web", 0)
+		assert.Equal(t, len(all), 1)
+		assert.Assert(t, math.Abs(all[0].Interference-e.Interference("web", "heavy")) < 0.11, "published %f, current %f", all[0].Interference, e.Interference("web", "heavy"))
+		assert.Equal(t, len(e.PairsSince("web", version)), 0)
+		assert.Equal(t, len(e.PairsSince("other", 0)), 0)
+		e.Observe(estimator.Sample{
+			Serving: []estimator.Serving{{Image: "web", Tail: 90, Target: target}}, Filling: []estimator.Filling{{Image: "new", Share: 0.2}},
+		})
+		changed := e.PairsSince("web", version)
+		assert.Equal(t, len(changed), 1)
+		assert.Equal(t, changed[0].Filling, "new")
+	})
 	t.Run("estimates can be copied to another estimator", func(t *testing.T) {
 		source, receiver := estimator.New(), estimator.New()
 		simulate(source, map[string]float64{"heavy": 3}, 60)
--- a/host.go
+++ b/host.go
@@ -1,6 +1,9 @@
 package cowslipbend
 
-import "context"
+import (
+	"context"
+	"hash/fnv"
+)
 
 // RunRef names one run of a task.
 type RunRef struct {
@@ -123,15 +126,31 @@
 	Running  []RunState  `json:"running,omitempty"`
 	Ends     []RunEnd    `json:"ends,omitempty"`
 	Results  []RunResult `json:"results,omitempty"`
-	// PairsVersion is the version of the agent's estimates for pairs of images.
+	// PairsVersion is the version of the estimates for pairs of images that the
+	// owner of PairsEpoch has sent to the agent.
 	PairsVersion int64 `json:"pairs,omitempty"`
+	PairsEpoch   Epoch `json:"since,omitempty"`
+	// EntriesHash is the HashURLs of the entries that the agent knows.
+	EntriesHash uint32 `json:"entries,omitempty"`
+}
+
+// HashURLs returns a number that differs, except by chance, for lists that
+// differ.
+func HashURLs(urls []string) uint32 {
+	h := fnv.New32a()
+	for _, url := range urls {
+		_, _ = h.Write([]byte(url)) // A hash returns no errors.
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum32()
 }
 
 // ReportReply answers a report.
 type ReportReply struct {
 	Epoch Epoch `json:"epoch,omitempty"`
 	// Owner is the URL of the owner, to which the agent then sends its reports.
-	Owner   string   `json:"owner,omitempty"`
+	Owner string `json:"owner,omitempty"`
+	// Entries holds the URLs of all entries. It is empty if the agent knows them.
 	Entries []string `json:"entries,omitempty"`
 	// LeaseGrant is the length of the lease, from the moment at which the agent
 	// sent the report.
@@ -140,8 +159,8 @@
 	// which the owner has recorded all ends.
 	Life         Incarnation `json:"life,omitempty"`
 	AckedThrough int64       `json:"acked,omitempty"`
-	// Pairs holds the estimates for the images on the host, and PairsVersion
-	// their version. It is empty if they have not changed.
+	// Pairs holds the estimates for the images on the host that have changed
+	// since the PairsVersion of the report, and PairsVersion their version.
 	Pairs        []ImagePair `json:"pairs,omitempty"`
 	PairsVersion int64       `json:"version,omitempty"`
 }
--- a/planner/fill_test.go
+++ b/planner/fill_test.go
@@ -169,3 +169,72 @@
 		assertStarts(t, p.decide(), 0)
 	})
 }
+
+// TestChangedPairs checks which estimates the replies to reports hold.
+func TestChangedPairs(t *testing.T) {
+	// setUp returns a pool with one host on which a filling task runs beside a
+	// serving one, and whose estimates are known.
+	setUp := func(t *testing.T) *pool {
+		p := newPool(t, 1)
+		serving := step(1, 2)
+		serving.Lasting, serving.Image, serving.TailTarget = true, "web", 18*cowslipbend.Millisecond
+		p.plan.Submit(flow("a", serving))
+		batch := filling(1, 1)
+		p.plan.Submit(flow("batch", batch))
+		p.startRuns(p.decide())
+		for range 6 {
+			p.now = p.now.Add(500)
+			p.setUsage("h0", cowslipbend.Core)
+			for i := range p.reports["h0"].Running {
+				p.reports["h0"].Running[i].Percent = 100
+			}
+			p.report("h0")
+		}
+		return p
+	}
+	// reply answers the last report again.
+	reply := func(p *pool) cowslipbend.ReportReply { return p.plan.Reply(p.reports["h0"], p.now) }
+	received := func(p *pool, r cowslipbend.ReportReply) {
+		p.reports["h0"].PairsVersion, p.reports["h0"].PairsEpoch = r.PairsVersion, r.Epoch
+	}
+	t.Run("estimates are sent once", func(t *testing.T) {
+		p := setUp(t)
+		first := reply(p)
+		assert.Equal(t, len(first.Pairs), 1)
+		received(p, first)
+		assert.Equal(t, len(reply(p).Pairs), 0)
+	})
+	t.Run("estimates of a lost reply are sent again", func(t *testing.T) {
+		p := setUp(t)
+		assert.Equal(t, len(reply(p).Pairs), 1)
+		assert.Equal(t, len(reply(p).Pairs), 1)
+	})
+	t.Run("a version of an earlier owner does not count", func(t *testing.T) {
+		p := setUp(t)
+		first := reply(p)
+		received(p, first)
+		p.reports["h0"].PairsEpoch--
+		assert.Equal(t, len(reply(p).Pairs), 1)
+	})
+	t.Run("a new image on the host gets all its estimates", func(t *testing.T) {
+		p := setUp(t)
+		received(p, reply(p))
+		// The estimates are known already when the image comes to the host again.
+		p.plan.Cancel("a")
+		p.decide()
+		for _, r := range p.reports["h0"].Running {
+			if r.Task.Job == "a" {
+				p.endRun("h0", r.RunRef, cowslipbend.EndStopped)
+				break
+			}
+		}
+		p.decide()
+		assert.Equal(t, len(reply(p).Pairs), 0)
+		serving := step(1, 2)
+		serving.Lasting, serving.Image, serving.TailTarget = true, "web", 18*cowslipbend.Millisecond
+		p.plan.Submit(flow("b", serving))
+		p.startRuns(p.decide())
+		p.report("h0")
+		assert.Equal(t, len(reply(p).Pairs), 1)
+	})
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -86,6 +86,9 @@
 	// retiredLives holds its earlier incarnations, whose reports may still
 	// arrive.
 	retiredLives map[cowslipbend.Incarnation]bool
+	// pairsSentAt holds, for each serving image on its host, the version of the
+	// estimates with which all pairs of the image were first sent.
+	pairsSentAt map[string]int64
 }
 
 // New returns a planner without flows and hosts.
--- a/planner/report.go
+++ b/planner/report.go
@@ -1,6 +1,9 @@
 package planner
 
 import (
+	"maps"
+	"slices"
+
 	"cowslipbend.dev"
 	"cowslipbend.dev/estimator"
 )
@@ -224,15 +227,49 @@
 	reply.Life = r.Host.Life
 	if h := p.hosts[r.Host.Life]; h != nil && h.reported {
 		reply.LeaseGrant, reply.AckedThrough = p.opts.MaxLease, h.ackedThrough
-		if r.PairsVersion != p.estimator.Version() {
-			reply.Pairs = p.estimator.Pairs(func(serving string) bool { return h.servingImages[serving].count > 0 })
-		}
+		reply.Pairs = p.changedPairs(r, h)
 		reply.PairsVersion = p.estimator.Version()
 		h.leaseEnd = max(h.leaseEnd, now.Add(p.opts.MaxLease+p.opts.MaxLease/driftDivisor+leaseSlack))
 	}
 	return reply
 }
 
+// changedPairs returns the estimates for the serving images of the host that the
+// reporting agent lacks: for images that are new on its host all of them, and for
+// others those that have changed since the version that it has.
+func (p *Planner) changedPairs(r *cowslipbend.HostReport, h *host) []cowslipbend.ImagePair {
+	a := p.agents[r.URL]
+	if a == nil || a.life != r.Agent {
+		return nil
+	}
+	known := r.PairsVersion
+	if r.PairsEpoch != p.epoch {
+		known = 0
+	}
+	for image := range a.pairsSentAt {
+		if h.servingImages[image].count == 0 {
+			delete(a.pairsSentAt, image)
+		}
+	}
+	var list []cowslipbend.ImagePair
+	for _, image := range slices.Sorted(maps.Keys(h.servingImages)) {
+		since := known
+		switch sentAt, sent := a.pairsSentAt[image]; {
+		case !sent:
+			if a.pairsSentAt == nil {
+				a.pairsSentAt = map[string]int64{}
+			}
+			// A later report that has this version confirms that the reply arrived.
+			a.pairsSentAt[image] = p.estimator.AdvanceVersion()
+			since = 0
+		case known < sentAt:
+			since = 0
+		}
+		list = append(list, p.estimator.PairsSince(image, since)...)
+	}
+	return list
+}
+
 // ExpireLeases ends the runs of hosts whose lease has certainly ended.
 func (p *Planner) ExpireLeases(now cowslipbend.Time) {
 	for _, h := range p.hosts {
--- a/supervisor/report.go
+++ b/supervisor/report.go
@@ -13,7 +13,7 @@
 	r := cowslipbend.HostReport{
 		Agent: s.settings.Life, URL: s.settings.URL, Number: s.reportNumber, Fence: s.fence, Running: s.running, Ends: s.unackedEnds,
 		ListAge:      s.clock.Now().Sub(s.lastContact),
-		PairsVersion: s.pairsVersion, LostLife: s.lostLife,
+		PairsVersion: s.pairsVersion, PairsEpoch: s.pairsEpoch, LostLife: s.lostLife, EntriesHash: cowslipbend.HashURLs(s.entryURLs),
 	}
 	if s.host != nil && s.clockSynced {
 		spec := *s.host
@@ -122,8 +122,8 @@
 	if newEpoch {
 		s.triggerRenewal()
 	}
-	if reply.PairsVersion != s.pairsVersion {
-		s.pairsVersion = reply.PairsVersion
+	if reply.PairsVersion > 0 && (reply.Epoch > s.pairsEpoch || reply.PairsVersion > s.pairsVersion) {
+		s.pairsVersion, s.pairsEpoch = reply.PairsVersion, reply.Epoch
 		s.model.UpdatePairs(reply.Pairs)
 	}
 	if s.host != nil && reply.Life == s.host.Life {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -139,9 +139,10 @@
 	pacer             *pacer.Pacer
 	pacedAt           cowslipbend.Time
 	// model estimates the interference between images. The owner's estimates,
-	// of version pairsVersion, replace its own.
+	// of version pairsVersion in the epoch pairsEpoch, replace its own.
 	model        *estimator.Estimator
 	pairsVersion int64
+	pairsEpoch   cowslipbend.Epoch
 	// renewalTrigger is closed and replaced when the next renewal need not
 	// wait: ends were acknowledged, there is a new owner, or the runner has
 	// changed.
