planner: store of a done task only that it is done

Cause: a flow's row is written anew whenever any of its tasks starts or ends, and held the host and the checkpoint of each task, also of those that were done.

A done task is now its step, index and run; compact steps keep the host, as the rest must run in its rack.

TestSuccessor: a row of eight done tasks takes 296 bytes before the change and is too long for the test, although these tasks have no checkpoint.

--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -510,6 +510,55 @@
 		assert.Assert(t, p.plan.AgentsChanged())
 		assert.DeepEqual(t, p.plan.Agents(), []planner.AgentRow{{URL: "h0", RunnerLife: "h0@2"}})
 	})
+	t.Run("tasks that are done stay done, and take few bytes", func(t *testing.T) {
+		const count = 8
+		old := newPool(t, 2)
+		f := flow("f", step(count, 1), step(1, 1))
+		f.Steps[1].DependsOn = []int{0}
+		old.plan.Submit(f)
+		orders := old.decide()
+		old.startRuns(orders)
+		for name, o := range orders {
+			for i := range o.Starts {
+				old.endRun(name, o.Starts[i].RunRef, cowslipbend.EndDone)
+			}
+		}
+		row, err := old.plan.TakeProgress("f")
+		assert.NilError(t, err)
+		assert.Assert(t, len(row) < count*30, "%d bytes: %s", len(row), row)
+		p := newPool(t, 2)
+		assert.NilError(t, p.plan.Restore(f, row, p.now))
+		_, ref := onlyStart(t, p.decide())
+		assert.Equal(t, ref.Task.Step, 1)
+	})
+	t.Run("compact tasks stay in the rack of those that are done", func(t *testing.T) {
+		old := newPool(t, 4)
+		f := flow("f", step(5, 2))
+		f.Steps[0].Compact = true
+		old.plan.Submit(f)
+		orders := old.decide()
+		old.startRuns(orders)
+		rack := cowslipbend.Rack("")
+		for name, o := range orders {
+			rack = old.reports[name].Host.Rack
+			for i := range o.Starts {
+				old.endRun(name, o.Starts[i].RunRef, cowslipbend.EndDone)
+			}
+		}
+		row, err := old.plan.TakeProgress("f")
+		assert.NilError(t, err)
+		p := newPool(t, 4)
+		// The other rack has more room.
+		for name, r := range p.reports {
+			if r.Host.Rack != rack {
+				p.reports[name].Host.Size.CPU *= 2
+				p.report(name)
+			}
+		}
+		assert.NilError(t, p.plan.Restore(f, row, p.now))
+		name, _ := onlyStart(t, p.decide())
+		assert.Equal(t, p.reports[name].Host.Rack, rack)
+	})
 	t.Run("damaged progress is refused", func(t *testing.T) {
 		p := newPool(t, 0)
 		f := flow("f", step(1, 1))
--- a/planner/row.go
+++ b/planner/row.go
@@ -121,9 +121,7 @@
 				if t.run == 0 {
 					continue
 				}
-				rr.Tasks = append(rr.Tasks, RowTask{
-					Step: i, Index: j, Done: t.phase == phaseDone, Run: t.run, Failures: t.failures, Host: t.host, Checkpoint: t.checkpoint,
-				})
+				rr.Tasks = append(rr.Tasks, r.steps[i].row(j))
 			}
 		}
 		row.Rounds = append(row.Rounds, rr)
@@ -131,6 +129,22 @@
 	return row
 }
 
+// row returns the stored progress of a task. Of a done task little is stored, as
+// each change writes the whole row and most tasks in it are done.
+func (s *step) row(index int) RowTask {
+	t := &s.tasks[index]
+	row := RowTask{Step: s.index, Index: index, Run: t.run}
+	if t.phase == phaseDone {
+		row.Done = true
+		if s.def.Compact {
+			row.Host = t.host // The other tasks must run in its rack.
+		}
+		return row
+	}
+	row.Failures, row.Host, row.Checkpoint = t.failures, t.host, t.checkpoint
+	return row
+}
+
 // Restore adds a flow with its stored progress. The runs that it names count as
 // placed on their hosts until the hosts report or their leases have ended.
 func (p *Planner) Restore(def *cowslipbend.Flow, data []byte, now cowslipbend.Time) error {
