supervisor: answer the owner's orders with their results only

An owner that has had a full report of the host in its epoch now asks for a brief answer. Orders for another incarnation, and those that announce a new owner, are answered in full as before.

--- a/host.go
+++ b/host.go
@@ -111,6 +111,9 @@
 type HostReport struct {
 	Agent Incarnation `json:"agent"`
 	URL   string      `json:"url"`
+	// BriefFor is set in the answer to brief orders, which has only Results. It is
+	// the incarnation of the runner that the orders are for.
+	BriefFor Incarnation `json:"brief,omitempty"`
 	// Number grows with each report of the agent.
 	Number int64 `json:"number"`
 	// Fence is an epoch. The runner has confirmed that it refuses calls of
@@ -193,6 +196,9 @@
 	// Resent is set if the orders were sent before and not answered. The agent
 	// then only reports whether the starts took effect, and starts none.
 	Resent bool `json:"again,omitempty"`
+	// Brief is set if the owner has the lists of the host from an earlier report
+	// and only needs the results.
+	Brief bool `json:"brief,omitempty"`
 }
 
 // Runner is the platform's runner on the agent's host. Errors are KindUnknown if
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -124,7 +124,7 @@
 func (p *Planner) ordersFor(h *host) *cowslipbend.HostOrders {
 	o := p.outbox[h]
 	if o == nil {
-		o = &cowslipbend.HostOrders{Epoch: p.epoch, Life: h.life}
+		o = &cowslipbend.HostOrders{Epoch: p.epoch, Life: h.life, Brief: h.fenced}
 		p.outbox[h] = o
 	}
 	return o
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -435,6 +435,28 @@
 	})
 }
 
+func TestBriefReport(t *testing.T) {
+	p := newPool(t, 1)
+	p.plan.Submit(flow("f", step(2, 1)))
+	orders := p.decide()
+	assert.Assert(t, orders["h0"].Brief)
+	first, second := orders["h0"].Starts[0].RunRef, orders["h0"].Starts[1].RunRef
+	answer := func(brief cowslipbend.Incarnation, results ...cowslipbend.RunResult) {
+		p.plan.ApplyReport(&cowslipbend.HostReport{Agent: "a", URL: "h0", BriefFor: brief, Results: results}, p.now)
+	}
+	answer("h0@0", cowslipbend.RunResult{RunRef: second, Kind: cowslipbend.Refused})
+	assertState(t, p, "f", cowslipbend.FlowQueued)
+	assertStarts(t, p.decide(), 0)
+	answer("h0@1", cowslipbend.RunResult{RunRef: first, Kind: cowslipbend.Started}, cowslipbend.RunResult{RunRef: second, Kind: cowslipbend.Absent})
+	assertState(t, p, "f", cowslipbend.FlowRunning)
+	_, again := onlyStart(t, p.decide())
+	assert.Equal(t, again, cowslipbend.RunRef{Task: second.Task, Run: 2})
+	// The report on the way when the orders were answered still counts.
+	p.reports["h0"].Running = []cowslipbend.RunState{{RunRef: first, Percent: 40}}
+	p.report("h0")
+	p.endRun("h0", first, cowslipbend.EndDone)
+}
+
 func TestSuccessor(t *testing.T) {
 	// takeOver restores a flow with one placed run into a new planner.
 	takeOver := func(t *testing.T) (*pool, string, cowslipbend.RunRef) {
--- a/planner/report.go
+++ b/planner/report.go
@@ -15,6 +15,12 @@
 	if a == nil {
 		return
 	}
+	if r.BriefFor != "" {
+		if h := p.hosts[r.BriefFor]; h != nil && a.runnerLife == r.BriefFor {
+			p.applyResults(h, r, now)
+		}
+		return
+	}
 	newer := r.Number > a.lastReportNumber
 	a.lastReportNumber = max(a.lastReportNumber, r.Number)
 	if r.Host == nil {
@@ -30,9 +36,7 @@
 	if h == nil || a.runnerLife != r.Host.Life {
 		return
 	}
-	for _, res := range r.Results {
-		p.applyResult(h, res, now)
-	}
+	p.applyResults(h, r, now)
 	if newer {
 		h.url, h.spec, h.reported, h.lastReportAt = r.URL, *r.Host, true, now
 		h.fenced = r.Fence == p.epoch
@@ -199,6 +203,12 @@
 	}
 }
 
+func (p *Planner) applyResults(h *host, r *cowslipbend.HostReport, now cowslipbend.Time) {
+	for _, res := range r.Results {
+		p.applyResult(h, res, now)
+	}
+}
+
 // applyResult applies the result of an order.
 func (p *Planner) applyResult(h *host, res cowslipbend.RunResult, now cowslipbend.Time) {
 	pl := h.runs[res.RunRef]
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -48,6 +48,9 @@
 		// of runs that an earlier process of it began.
 		s.log.Info("orders ignored: runner incarnation is unknown to this agent", "life", o.Life, "known", life)
 	}
+	if o.Brief && !newEpoch && o.Life == life {
+		return cowslipbend.HostReport{Agent: s.settings.Life, URL: s.settings.URL, BriefFor: o.Life, Results: results}, nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.buildReport()
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -222,6 +222,20 @@
 		assert.Equal(t, r.Results[0].Kind, cowslipbend.Started)
 		assertLists(t, r, s.RunRef, true)
 	})
+	t.Run("brief orders are answered with their results only", func(t *testing.T) {
+		f := newFixture(t)
+		f.connectRunner()
+		s := newStart(0)
+		r := f.sendOrders(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Brief: true, Starts: []cowslipbend.RunStart{s}})
+		want := cowslipbend.HostReport{Agent: "a", URL: "http://agent", BriefFor: life, Results: []cowslipbend.RunResult{{RunRef: s.RunRef, Kind: cowslipbend.Started}}}
+		assert.DeepEqual(t, r, want)
+	})
+	t.Run("brief orders for another incarnation or of a new owner are answered in full", func(t *testing.T) {
+		f := newFixture(t)
+		f.connectRunner()
+		assert.Assert(t, f.sendOrders(&cowslipbend.HostOrders{Epoch: epoch, Life: "r@0", Brief: true}).Host != nil)
+		assert.Assert(t, f.sendOrders(&cowslipbend.HostOrders{Epoch: epoch + 1, Life: life, Brief: true}).Host != nil)
+	})
 	t.Run("orders of earlier owners are refused", func(t *testing.T) {
 		f := newFixture(t)
 		f.connectRunner()
