--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 
 	"github.com/hashicorp/go-hclog"
@@ -237,9 +236,9 @@
 		return "", err
 	}
 	if row.Version != 0 {
-		var progress planner.Row
-		if err := json.Unmarshal(row.Value, &progress); err != nil {
-			return "", cowslipbend.Failf(cowslipbend.KindBroken, err, "restore the flow's row", "progress of %s does not decode", id)
+		progress, err := planner.DecodeRow(id, row.Value)
+		if err != nil {
+			return "", err
 		}
 		return progress.FlowState(), nil
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -68,6 +68,8 @@
 	// agentsChanged is set if the agents have changed since the last call of
 	// AgentsChanged.
 	agentsChanged bool
+	// rows encodes progress for the store.
+	rows rowEncoder
 	// outbox collects the orders of the current decision.
 	outbox map[*host]*cowslipbend.HostOrders
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -553,6 +553,21 @@
 		_, ref := onlyStart(t, p.decide())
 		assert.Equal(t, ref.Task.Step, 1)
 	})
+	t.Run("the progress of a wide flow is compressed", func(t *testing.T) {
+		const count = 200
+		old := newPool(t, 50)
+		f := flow("f", step(count, 1))
+		old.plan.Submit(f)
+		orders := old.plan.Decide(old.now, old.now, old.now)
+		assert.Equal(t, len(orders), 50)
+		row, err := old.plan.TakeProgress("f")
+		assert.NilError(t, err)
+		assert.Assert(t, len(row) < count*8, "%d bytes", len(row))
+		p := newPool(t, 0)
+		assert.NilError(t, p.plan.Restore(f, row, p.now))
+		p.addHost("h50", "r0")
+		assertStarts(t, p.decide(), 0)
+	})
 	t.Run("compact tasks stay in the rack of those that are done", func(t *testing.T) {
 		old := newPool(t, 4)
 		f := flow("f", step(5, 2))
@@ -584,7 +599,7 @@
 	t.Run("damaged progress is refused", func(t *testing.T) {
 		p := newPool(t, 0)
 		f := flow("f", step(1, 1))
-		for _, row := range []string{"{", `{"r":[{"t":[{"s":4,"n":1}]}]}`} {
+		for _, row := range []string{"{", "z\x05", `{"r":[{"t":[{"s":4,"n":1}]}]}`} {
 			assert.Equal(t, cowslipbend.KindOf(p.plan.Restore(f, []byte(row), 0)), cowslipbend.KindBroken)
 		}
 	})
--- a/planner/row.go
+++ b/planner/row.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"encoding/json"
 	"sort"
 
 	"cowslipbend.dev"
@@ -101,7 +100,8 @@
 // dirty flows.
 func (p *Planner) TakeProgress(id cowslipbend.JobID) ([]byte, error) {
 	delete(p.dirtyFlows, id)
-	data, err := json.Marshal(p.flows[id].row())
+	row := p.flows[id].row()
+	data, err := p.rows.encode(&row)
 	if err != nil {
 		return nil, cowslipbend.Failf(cowslipbend.KindBroken, err, "report this", "progress of flow %s does not encode", id)
 	}
@@ -148,9 +148,9 @@
 // Restore adds a flow with its stored progress. The runs that it names count as
 // placed on their hosts until the hosts report or their leases have ended.
 func (p *Planner) Restore(def *cowslipbend.Flow, data []byte, now cowslipbend.Time) error {
-	var row Row
-	if err := json.Unmarshal(data, &row); err != nil {
-		return cowslipbend.Failf(cowslipbend.KindBroken, err, "restore the flow's row", "progress of flow %s does not decode", def.ID)
+	row, err := DecodeRow(def.ID, data)
+	if err != nil {
+		return err
 	}
 	f := newFlow(def)
 	f.begun, f.finalState, f.endedAt, f.roundsCompleted, f.nextRound = row.Begun, row.State, row.EndedAt, row.RoundsCompleted, row.NextRound
