planner: give each overdue flow one task, by the room that is reserved

After 1.5 s without a placed task a flow may start at any rate, but only while less than 0.6 of the processors were reserved or wanted by filling runs. Under load the filling runs alone want more than that, so that the flow never got another task, while callers count what filling runs use as free.

The share now counts reservations only.

The new case of TestUnplacedFilling fails before the change.

--- a/planner/decide.go
+++ b/planner/decide.go
@@ -34,8 +34,7 @@
 	p.evacuate(hosts, now)
 	p.moveSlow(hosts, now)
 	for _, f := range ready {
-		list := hosts[p.policy(f).Service]
-		p.placeFlow(f, list, minRateFor(f, list, now), now)
+		p.placeReady(f, hosts[p.policy(f).Service], now)
 	}
 	p.orderStops(now)
 	p.describeRuns()
--- a/planner/fill_test.go
+++ b/planner/fill_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -162,6 +163,78 @@
 		p.report("h0")
 		assertStarts(t, p.decide(), 1)
 	})
+	t.Run("each flow gets a task beside filling work that uses all processors, and all of its tasks run", func(t *testing.T) {
+		const (
+			round     = 400 * cowslipbend.Millisecond
+			duration  = 1200 * cowslipbend.Millisecond
+			maxWait   = 2500 * cowslipbend.Millisecond
+			wideCount = 6
+		)
+		p := newPool(t, 2)
+		serving := step(2, 1)
+		serving.Lasting, serving.Image, serving.TailTarget, serving.MaxPerHost = true, "web", 18*cowslipbend.Millisecond, 1
+		p.plan.Submit(flow("a", serving))
+		p.startRuns(p.decide())
+		early := filling(6, 1)
+		early.Image = "early"
+		p.plan.Submit(flow("early", early))
+		p.startRuns(p.decide())
+		wide := filling(wideCount, 1)
+		wide.Size.Mem = cowslipbend.GB / 10
+		p.plan.Submit(flow("wide", wide))
+		// idleSince is since when a flow has had nothing running, startedAt when
+		// each run began.
+		idleSince, startedAt := map[cowslipbend.JobID]cowslipbend.Time{"wide": p.now}, map[cowslipbend.RunRef]cowslipbend.Time{}
+		done := 0
+		for i := range 200 {
+			if i%10 == 0 && i < 60 {
+				small := filling(1, 1)
+				small.Size.Mem = cowslipbend.GB / 10
+				id := fmt.Sprint("small", i)
+				p.plan.Submit(flow(id, small))
+				idleSince[cowslipbend.JobID(id)] = p.now
+			}
+			p.now = p.now.Add(round)
+			for name, r := range p.reports {
+				for j := range r.Running {
+					if r.Running[j].Task.Job == "a" {
+						r.Running[j].Percent, r.Running[j].TailOrCPU = 100, 17
+					} else {
+						r.Running[j].TailOrCPU = int64(cowslipbend.Core)
+					}
+				}
+				p.report(name)
+			}
+			for name, r := range p.reports {
+				for _, run := range r.Running {
+					if at, ok := startedAt[run.RunRef]; ok && p.now.Sub(at) >= duration {
+						p.endRun(name, run.RunRef, cowslipbend.EndDone)
+						delete(startedAt, run.RunRef)
+						idleSince[run.Task.Job] = p.now
+						done++
+						break
+					}
+				}
+			}
+			orders := p.decide()
+			p.startRuns(orders)
+			for _, ref := range starts(orders) {
+				if ref.Task.Job != "early" {
+					startedAt[ref] = p.now
+					delete(idleSince, ref.Task.Job)
+				}
+			}
+			for id, since := range idleSince {
+				if s, _ := p.plan.State(id); s.Ended() {
+					delete(idleSince, id)
+					continue
+				}
+				assert.Assert(t, p.now.Sub(since) <= maxWait, "flow %s has had nothing running for %s", id, p.now.Sub(since))
+			}
+		}
+		assertState(t, p, "wide", cowslipbend.FlowDone)
+		assert.Equal(t, done, wideCount+6)
+	})
 	t.Run("a task waits under load", func(t *testing.T) {
 		p := setUp(t, 3)
 		p.now = p.now.Add(1000)
--- a/planner/place.go
+++ b/planner/place.go
@@ -11,64 +11,85 @@
 // disturb other tasks.
 const minFillingRate = 0.9
 
-// Limits of waiting beside free processors, after which filling tasks start at
-// any expected rate.
+// Limits of waiting beside free processors, after which a flow gets one filling
+// task or gang placed at any expected rate.
 const (
 	// maxUnplaced is how long a flow with waiting tasks may have no task
 	// placed. It is half of the three seconds after which callers regard a flow
 	// as forgotten, as a start takes time too.
 	maxUnplaced = 1500 * cowslipbend.Millisecond
-	// busyShare is the share of processors, reserved or in demand, from which
-	// waiting is attributed to load. Callers attribute it to load from half.
+	// busyShare is the share of reserved processors from which waiting is
+	// attributed to load. Callers attribute it to load from half. They do not
+	// count filling tasks, which yield to all others.
 	busyShare = 0.6
 )
 
-// minRateFor returns the lowest expected rate at which filling tasks of the
-// flow are placed: zero if the flow has had no task placed for long while
+// placementLimits bounds the placement of a flow.
+type placementLimits struct {
+	// minRate is the lowest expected rate at which filling tasks are placed.
+	minRate float64
+	// onlyOne is set if at most one task, or one gang, may be placed.
+	onlyOne bool
+}
+
+// isOverdue reports whether the flow has had no task placed for too long while
 // processors are free.
-func minRateFor(f *flow, hosts []*host, now cowslipbend.Time) float64 {
-	if f.unplacedSince > 0 && now.Sub(f.unplacedSince) >= maxUnplaced && usedShare(hosts) < busyShare {
-		return 0
-	}
-	return minFillingRate
+func (f *flow) isOverdue(hosts []*host, now cowslipbend.Time) bool {
+	return f.unplacedSince > 0 && now.Sub(f.unplacedSince) >= maxUnplaced && reservedShare(hosts) < busyShare
 }
 
-// usedShare returns the share of the processors of the hosts that is reserved
-// or in demand by filling runs.
-func usedShare(hosts []*host) float64 {
-	var usedCPU, totalCPU cowslipbend.Millicores
+// reservedShare returns the share of the processors of the hosts that is
+// reserved.
+func reservedShare(hosts []*host) float64 {
+	var reservedCPU, totalCPU cowslipbend.Millicores
 	for _, h := range hosts {
-		usedCPU += min(h.reserved.CPU+h.fillingDemand, h.spec.Size.CPU)
+		reservedCPU += min(h.reserved.CPU, h.spec.Size.CPU)
 		totalCPU += h.spec.Size.CPU
 	}
-	return float64(usedCPU) / float64(max(totalCPU, 1))
+	return float64(reservedCPU) / float64(max(totalCPU, 1))
 }
 
-// placeFlow places the waiting tasks of the ready steps of a flow, filling ones
-// only at an expected rate of minRate or more.
-func (p *Planner) placeFlow(f *flow, hosts []*host, minRate float64, now cowslipbend.Time) {
+// placeReady places the waiting tasks of the ready steps of a flow. A flow that
+// is overdue gets one task even if it will be slow.
+func (p *Planner) placeReady(f *flow, hosts []*host, now cowslipbend.Time) {
+	if p.placeFlow(f, hosts, placementLimits{minRate: minFillingRate}, now) || !f.isOverdue(hosts, now) {
+		return
+	}
+	p.placeFlow(f, hosts, placementLimits{onlyOne: true}, now)
+}
+
+// placeFlow places waiting tasks of the ready steps of a flow within the limits,
+// and reports whether it has placed any.
+func (p *Planner) placeFlow(f *flow, hosts []*host, limits placementLimits, now cowslipbend.Time) bool {
+	placed := false
 	for _, r := range f.rounds {
 		for i := range r.steps {
 			s := &r.steps[i]
+			waiting := s.waitingCount
 			switch {
-			case !s.ready || s.waitingCount == 0:
+			case !s.ready || waiting == 0:
 			case s.def.Gang:
-				p.placeGang(f, r, s, hosts, minRate, now)
+				p.placeGang(f, r, s, hosts, limits.minRate, now)
 			default:
-				p.placeStep(f, r, s, hosts, minRate, now)
+				p.placeStep(f, r, s, hosts, limits, now)
+			}
+			placed = placed || s.waitingCount < waiting
+			if placed && limits.onlyOne {
+				return true
 			}
 		}
 	}
+	return placed
 }
 
-func (p *Planner) placeStep(f *flow, r *round, s *step, hosts []*host, minRate float64, now cowslipbend.Time) {
+func (p *Planner) placeStep(f *flow, r *round, s *step, hosts []*host, limits placementLimits, now cowslipbend.Time) {
 	rack, key := s.rack(p), stepKey{f.def.ID, r.number, s.index}
 	hosts, tickets := p.advisedHosts(f, key, hosts, now)
 	for i := range s.tasks {
 		if s.tasks[i].phase != phaseWaiting {
 			continue
 		}
-		h := p.chooseHost(hosts, s.def, key, rack, minRate)
+		h := p.chooseHost(hosts, s.def, key, rack, limits.minRate)
 		if h == nil {
 			return
 		}
@@ -76,6 +97,9 @@
 			rack = h.spec.Rack
 		}
 		p.startTask(f, r, s, i, h, s.tasks[i].run+1, tickets[h.spec.Runner], now)
+		if limits.onlyOne {
+			return
+		}
 	}
 }
 
