--- a/elector/elector.go
+++ b/elector/elector.go
@@ -262,7 +262,7 @@
 func (e *Elector) Health() Health {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	h := Health{Life: e.self.Life, StoreContactAge: e.clock.Now().Sub(e.store.LastContact()), Leaving: e.leaving, Yielding: e.yielding}
+	h := Health{Life: e.self.Life, StoreContactAge: e.StoreContactAge(), Leaving: e.leaving, Yielding: e.yielding}
 	if e.conductor != nil {
 		h.OwnedEpoch = e.conductor.Epoch()
 	}
@@ -275,7 +275,7 @@
 func (e *Elector) StoreUnreachable() (unreachable bool, peers []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.clock.Now().Sub(e.store.LastContact()) <= storeTimeout {
+	if e.StoreContactAge() <= storeTimeout {
 		return false, nil
 	}
 	for _, m := range e.members {
@@ -287,6 +287,11 @@
 	return true, peers
 }
 
+// StoreContactAge returns the time since the store last answered this entry.
+func (e *Elector) StoreContactAge() cowslipbend.Span {
+	return e.clock.Now().Sub(e.store.LastContact())
+}
+
 // ShouldRedirect reports whether callers should use another entry while the
 // store does not answer this one: the owner has recently reached the store, or
 // this entry is cut off from the owner as well.
--- a/intaker/intaker_test.go
+++ b/intaker/intaker_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,10 +26,13 @@
 type fakeOwners struct {
 	storeUnreachable bool
 	peers            []string
+	ownerURL         string
+	contactAge       cowslipbend.Span
 }
 
 func (*fakeOwners) Conductor() *conductor.Conductor      { return nil }
-func (*fakeOwners) OwnerURL() string                     { return "" }
+func (o *fakeOwners) OwnerURL() string                   { return o.ownerURL }
+func (o *fakeOwners) StoreContactAge() cowslipbend.Span  { return o.contactAge }
 func (o *fakeOwners) StoreUnreachable() (bool, []string) { return o.storeUnreachable, o.peers }
 
 type testEntry struct {
@@ -151,6 +155,61 @@
 	})
 }
 
+// TestTurnedAway plays a store that refuses some entries and serves others.
+func TestTurnedAway(t *testing.T) {
+	t.Run("the owner stores a flow that the store refuses to take from this entry", func(t *testing.T) {
+		table := &keeper.Table{}
+		refused, owner := newTestEntry(t, table), newTestEntry(t, table)
+		refused.faults.SetDown(true)
+		refused.owners.ownerURL = owner.url
+		assert.NilError(t, refused.Submit(contextFor(t, waitTimeout), flow("f")))
+		assertStored(t, table, "f", true)
+	})
+	t.Run("a flow is refused if neither this entry nor the owner can store it", func(t *testing.T) {
+		table := &keeper.Table{}
+		refused, owner := newTestEntry(t, table), newTestEntry(t, table)
+		refused.faults.SetDown(true)
+		owner.faults.SetDown(true)
+		refused.owners.ownerURL = owner.url
+		assertKind(t, refused.Submit(contextFor(t, time.Second), flow("f")), cowslipbend.KindDown)
+		assertStored(t, table, "f", false)
+	})
+	t.Run("few of many entries are asked, the owner among them", func(t *testing.T) {
+		asked := make([]atomic.Int64, 20)
+		t.Cleanup(func() { // Once the entry has stopped, so that all calls are counted.
+			sum := int64(0)
+			for n := range asked {
+				sum += asked[n].Load()
+			}
+			assert.Assert(t, sum <= 2, "%d entries besides the owner were asked", sum)
+		})
+		table := &keeper.Table{}
+		cutOff, owner := newTestEntry(t, table), newTestEntry(t, table)
+		for n := range asked {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				asked[n].Add(1)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			t.Cleanup(srv.Close)
+			cutOff.owners.peers = append(cutOff.owners.peers, srv.URL)
+		}
+		cutOff.owners.storeUnreachable, cutOff.owners.ownerURL = true, owner.url
+		cutOff.owners.peers = append(cutOff.owners.peers, owner.url)
+		assert.NilError(t, cutOff.Submit(contextFor(t, waitTimeout), flow("f")))
+		assertStored(t, table, "f", true)
+	})
+	t.Run("the longer the outage, the later a refused caller is told to return", func(t *testing.T) {
+		e := newTestEntry(t, &keeper.Table{})
+		e.owners.storeUnreachable = true
+		for _, c := range []struct{ outage, after cowslipbend.Span }{{1500, 1000}, {2500, 2000}, {4500, 3000}, {60_000, 4000}} {
+			e.owners.contactAge = c.outage
+			err := e.Submit(contextFor(t, waitTimeout), flow("f"))
+			assertKind(t, err, cowslipbend.KindDown)
+			assert.Equal(t, cowslipbend.AsError(err).After, c.after)
+		}
+	})
+}
+
 func TestStates(t *testing.T) {
 	e := newTestEntry(t, &keeper.Table{})
 	q := &cowslipbend.Queue{ID: "q"}
--- a/intaker/store.go
+++ b/intaker/store.go
@@ -34,6 +34,9 @@
 	key   string
 	value []byte
 	done  chan error
+	// handedOver is set if another entry has handed the flow over to this one,
+	// which then hands it over to no other.
+	handedOver bool
 	// claimed is set by storeGroups before it stores the flow, or by the caller
 	// to withdraw it, whichever is first.
 	claimed atomic.Bool
@@ -41,12 +44,12 @@
 
 // store queues a flow and waits until it is stored. If a flow with its id is
 // stored already, it counts as the same job, submitted again.
-func (i *Intaker) store(ctx context.Context, f *cowslipbend.Flow) error {
+func (i *Intaker) store(ctx context.Context, f *cowslipbend.Flow, handedOver bool) error {
 	value, err := json.Marshal(f)
 	if err != nil {
 		return cowslipbend.AsError(err)
 	}
-	p := &submission{ctx: ctx, flow: f, key: conductor.WorkKey(f.ID), value: value, done: make(chan error, 1)}
+	p := &submission{ctx: ctx, flow: f, key: conductor.WorkKey(f.ID), value: value, done: make(chan error, 1), handedOver: handedOver}
 	if !i.submissions.Offer(p) {
 		return &cowslipbend.Error{Kind: cowslipbend.KindBusy, What: "too many submissions are waiting for the store", Remedy: "submit it again later", After: cowslipbend.Second}
 	}
@@ -56,7 +59,7 @@
 	case <-ctx.Done():
 	}
 	if p.claimed.CompareAndSwap(false, true) {
-		return unavailable(ctx.Err())
+		return i.unavailable(ctx.Err())
 	}
 	select {
 	case err := <-p.done:
@@ -67,12 +70,28 @@
 }
 
 // unavailable returns the error of a submission that was certainly not stored.
-func unavailable(cause error) error {
+func (i *Intaker) unavailable(cause error) error {
 	return &cowslipbend.Error{
-		Kind: cowslipbend.KindDown, What: "store is unavailable", Remedy: "submit it again later", After: cowslipbend.Second, Cause: cause,
+		Kind: cowslipbend.KindDown, What: "store is unavailable", Remedy: "submit it again later", After: retryDelay(i.owners.StoreContactAge()), Cause: cause,
 	}
 }
 
+// Bounds of the delay after which a refused caller may return.
+const (
+	minRetryDelay = cowslipbend.Second
+	maxRetryDelay = 4 * cowslipbend.Second
+)
+
+// retryDelay returns when a caller that is refused while the store is down may
+// return. It answers outages of unknown length, which on average last about as
+// long again as they have lasted so far: the delay grows with the outage, so that
+// the few retries of a caller reach beyond its end, and stays at half of it, so
+// that a caller that could be served loses little time.
+func retryDelay(outage cowslipbend.Span) cowslipbend.Span {
+	delay := (outage/2 + cowslipbend.Second - 1) / cowslipbend.Second * cowslipbend.Second
+	return min(max(delay, minRetryDelay), maxRetryDelay)
+}
+
 // storeGroups stores submissions in groups, one transaction after the other.
 // Submissions that arrive during a transaction form the next group.
 func (i *Intaker) storeGroups(ctx context.Context) error {
@@ -130,6 +149,17 @@
 	}
 }
 
+// handOverToOwner has the owner store a flow that the store has refused to take
+// from this entry: it may turn some entries away and serve others, in the first
+// place the owner. KindDown means that the flow is not stored.
+func (i *Intaker) handOverToOwner(p *submission) error {
+	owner := i.owners.OwnerURL()
+	if p.handedOver || owner == "" || i.owners.Conductor() != nil {
+		return i.unavailable(nil)
+	}
+	return i.handOver(p.ctx, p.flow, []string{owner})
+}
+
 func finish(group []*submission, err error) {
 	for _, p := range group {
 		p.done <- err
@@ -149,6 +179,14 @@
 		case cowslipbend.KindUnknown:
 			mayBeStored = true
 		case cowslipbend.KindDown:
+			if p.handedOver && !mayBeStored {
+				return i.unavailable(err) // The other entry tries again.
+			}
+			handOverErr := i.handOverToOwner(p)
+			if handOverErr == nil {
+				return nil
+			}
+			mayBeStored = mayBeStored || cowslipbend.KindOf(handOverErr) != cowslipbend.KindDown
 		default:
 			return err
 		}
@@ -166,7 +204,7 @@
 			if mayBeStored {
 				return cowslipbend.Failf(cowslipbend.KindUnknown, err, "submit it again with the same id", "flow may have been stored")
 			}
-			return unavailable(err)
+			return i.unavailable(err)
 		case <-i.clock.After(retryBackoff):
 		}
 	}
