--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -40,6 +40,9 @@
 	// expiryInterval is the time between two checks for flows whose retention
 	// has expired.
 	expiryInterval = 5 * cowslipbend.Second
+	// delayCheckInterval is the time between two checks for flows whose tasks
+	// wait.
+	delayCheckInterval = cowslipbend.Second
 	// maxPuts is the largest number of rows of one commit; a transaction holds
 	// 100 entries, of which the head takes two.
 	maxPuts = 98
@@ -90,6 +93,7 @@
 	// Each round replaces it as it begins.
 	roundCommitted  chan struct{}
 	lastExpiryCheck cowslipbend.Time
+	lastDelayCheck  cowslipbend.Time
 	// progressToDelete holds the keys of the progress rows of removed flows, which
 	// the next commit deletes.
 	progressToDelete []string
--- a/conductor/round.go
+++ b/conductor/round.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"slices"
 
 	"cowslipbend.dev"
@@ -103,6 +104,10 @@
 		}
 		d.expiredFlows = c.planner.RemoveExpired(c.feed.Now())
 	}
+	if now.Sub(c.lastDelayCheck) >= delayCheckInterval {
+		c.lastDelayCheck = now
+		c.logDelays(now)
+	}
 	d.waitingCounts = c.planner.CountQueued()
 	if c.settings.Advisor != nil {
 		d.adviceRequests = c.planner.AdviceRequests(now)
@@ -111,6 +116,14 @@
 	return d, nil
 }
 
+// logDelays logs why flows that could run have had no task placed for some time.
+func (c *Conductor) logDelays(now cowslipbend.Time) {
+	for _, d := range c.planner.Delays(now) {
+		c.log.Info("flow waits", "flow", d.Flow, "round", d.Round, "step", d.Step, "waiting", d.Waiting, "for", d.For, "position", d.Position, "ready", d.Ready,
+			"reason", d.Reason, "hosts", d.Hosts, "rate", math.Round(d.BestRate*100)/100, "reserved", math.Round(d.ReservedShare*100)/100)
+	}
+}
+
 // askAdvisor asks the advisor which runners suit a step.
 func (c *Conductor) askAdvisor(ctx context.Context, q planner.AdviceRequest) {
 	advice, err := c.settings.Advisor.Advise(ctx, q.Job, q.Round, q.Step, q.Runners)
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -33,8 +33,8 @@
 	hosts := p.usableHosts(now)
 	p.evacuate(hosts, now)
 	p.moveSlow(hosts, now)
-	for _, f := range ready {
-		p.placeReady(f, hosts[p.policy(f).Service], now)
+	for i, f := range ready {
+		f.trackDelay(p.placeReady(f, hosts[p.policy(f).Service], now), i, now)
 	}
 	p.orderStops(now)
 	p.describeRuns()
--- a/planner/flow.go
+++ b/planner/flow.go
@@ -105,6 +105,12 @@
 	// criticalPath is the length of the longest chain of steps by their
 	// estimates.
 	criticalPath cowslipbend.Span
+	// delayedSince is since when waiting tasks were not placed by any decision,
+	// zero if one was; position is the place in the order of the last decision.
+	// delayReportedAt is when Delays last returned the flow.
+	delayedSince    cowslipbend.Time
+	delayReportedAt cowslipbend.Time
+	position        int
 	// unplacedSince is since when tasks have waited without any task of the
 	// flow placed; zero if one is.
 	unplacedSince cowslipbend.Time
--- a/planner/place.go
+++ b/planner/place.go
@@ -49,13 +49,14 @@
 	return float64(reservedCPU) / float64(max(totalCPU, 1))
 }
 
-// placeReady places the waiting tasks of the ready steps of a flow. A flow that
-// is overdue gets one task even if it will be slow.
-func (p *Planner) placeReady(f *flow, hosts []*host, now cowslipbend.Time) {
-	if p.placeFlow(f, hosts, placementLimits{minRate: minFillingRate}, now) || !f.isOverdue(hosts, now) {
-		return
+// placeReady places the waiting tasks of the ready steps of a flow, and reports
+// whether it has placed any. A flow that is overdue gets one task even if it will
+// be slow.
+func (p *Planner) placeReady(f *flow, hosts []*host, now cowslipbend.Time) bool {
+	if p.placeFlow(f, hosts, placementLimits{minRate: minFillingRate}, now) {
+		return true
 	}
-	p.placeFlow(f, hosts, placementLimits{onlyOne: true}, now)
+	return f.isOverdue(hosts, now) && p.placeFlow(f, hosts, placementLimits{onlyOne: true}, now)
 }
 
 // placeFlow places waiting tasks of the ready steps of a flow within the limits,
@@ -189,14 +190,20 @@
 
 // fits reports whether the host may run a task of the step and has enough free
 // resources.
-func (h *host) fits(def *cowslipbend.Step, key stepKey) bool {
-	if def.Label != "" && !slices.Contains(h.spec.Labels, def.Label) {
-		return false
-	}
-	if def.MaxPerHost > 0 && h.stepRuns[key] >= def.MaxPerHost {
-		return false
+func (h *host) fits(def *cowslipbend.Step, key stepKey) bool { return h.misfit(def, key) == "" }
+
+// misfit returns why the host may not run a task of the step or lacks resources,
+// or an empty reason.
+func (h *host) misfit(def *cowslipbend.Step, key stepKey) DelayReason {
+	switch {
+	case def.Label != "" && !slices.Contains(h.spec.Labels, def.Label):
+		return DelayLabel
+	case def.MaxPerHost > 0 && h.stepRuns[key] >= def.MaxPerHost:
+		return DelaySpread
+	case !def.Reserved().Fits(h.free()):
+		return DelayRoom
 	}
-	return def.Reserved().Fits(h.free())
+	return ""
 }
 
 // Weights of the score of a host, in thousandths of a core.
