publisher: call the callbacks of one set after the other

Two installs at the same time ran their callbacks at the same time, so that a part could be left with the older set. TestCallbackOrder saw 2, 1 before.

--- a/publisher/holder.go
+++ b/publisher/holder.go
@@ -29,6 +29,10 @@
 	newerPeers *ring.Ring[peerRevision]
 	done       chan struct{}
 
+	// installing is held during an installation and its callbacks, so that
+	// callbacks see revisions in ascending order.
+	installing sync.Mutex
+
 	mu        sync.Mutex
 	rev       cowslipbend.Revision
 	raw       []byte
@@ -50,8 +54,8 @@
 	}
 }
 
-// OnChange registers a callback that is called with each newer set. The
-// callback must not block.
+// OnChange registers a callback that is called with each newer set, one set
+// after the other. The callback must not block or install a set.
 func (h *Holder) OnChange(f func(cowslipbend.Revision, *cowslipbend.Set)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -88,6 +92,8 @@
 	if err != nil {
 		return err
 	}
+	h.installing.Lock()
+	defer h.installing.Unlock()
 	h.mu.Lock()
 	if rev <= h.rev {
 		h.mu.Unlock()
--- a/publisher/publish_test.go
+++ b/publisher/publish_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/anishathalye/porcupine"
 	"github.com/hashicorp/go-hclog"
@@ -38,6 +40,34 @@
 	assert.Equal(t, head.Revision, want)
 }
 
+func TestCallbackOrder(t *testing.T) {
+	// The callback for the first revision takes long, while a second one arrives.
+	const overlap = 20 * time.Millisecond
+	h := publisher.NewHolder("", hclog.NewNullLogger())
+	var g errgroup.Group
+	secondInstalled := make(chan struct{})
+	var order []cowslipbend.Revision
+	var mu sync.Mutex
+	h.OnChange(func(rev cowslipbend.Revision, _ *cowslipbend.Set) {
+		if rev == 1 {
+			g.Go(func() error {
+				defer close(secondInstalled)
+				return h.Install(2, []byte("{}"))
+			})
+			select {
+			case <-secondInstalled:
+			case <-time.After(overlap):
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		order = append(order, rev)
+	})
+	assert.NilError(t, h.Install(1, []byte("{}")))
+	assert.NilError(t, g.Wait())
+	assert.DeepEqual(t, order, []cowslipbend.Revision{1, 2})
+}
+
 func TestPublish(t *testing.T) {
 	for _, c := range []struct {
 		name   string
