--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -82,23 +82,26 @@
 
 // Admit takes one token from every limit that covers the request. If one of
 // them has none left, it takes no token at all and returns KindLimited with the
-// time after which to retry.
+// time after which all of them have one.
 func (l *Limiter) Admit(team cowslipbend.TeamID, service cowslipbend.ServiceID) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	var exhausted *bucket
+	var refusal *cowslipbend.Error
 	for _, b := range l.buckets {
 		if !covers(b.limit, team, service) {
 			continue
 		}
 		b.requested++
-		if exhausted == nil && b.tokens.TokensAt(now) < 1 {
-			exhausted = b
+		if b.tokens.TokensAt(now) >= 1 {
+			continue
+		}
+		if r := b.refusal(now); refusal == nil || r.After > refusal.After {
+			refusal = r
 		}
 	}
-	if exhausted != nil {
-		return exhausted.refusal(now)
+	if refusal != nil {
+		return refusal
 	}
 	for _, b := range l.buckets {
 		if covers(b.limit, team, service) {
@@ -110,7 +113,7 @@
 }
 
 // refusal returns a KindLimited error that says when the next token is due.
-func (b *bucket) refusal(now time.Time) error {
+func (b *bucket) refusal(now time.Time) *cowslipbend.Error {
 	missing := 1 - b.tokens.TokensAt(now)
 	retryAfter := cowslipbend.Span(missing / float64(b.tokens.Limit()) * float64(cowslipbend.Second))
 	return &cowslipbend.Error{
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -40,6 +40,14 @@
 		clock.Advance(err.After)
 		assert.NilError(t, l.Admit("t", "s"))
 	})
+	t.Run("says when the last of several limits has a token", func(t *testing.T) {
+		l, _ := newLimiter(t, 10, 1)
+		l.Declare([]cowslipbend.Limit{{Name: "fast", Team: "t", Rate: 10, Burst: 1}, {Name: "slow", Service: "s", Rate: 1, Burst: 1}})
+		assert.NilError(t, l.Admit("t", "s"))
+		err := cowslipbend.AsError(l.Admit("t", "s"))
+		assert.Equal(t, err.After, cowslipbend.Second)
+		assert.ErrorContains(t, err, "slow")
+	})
 	t.Run("does not limit other teams", func(t *testing.T) {
 		l, _ := newLimiter(t, 1, 1)
 		assert.Equal(t, admitted(l, 2), 1)
