--- a/reporter/recorder.go
+++ b/reporter/recorder.go
@@ -206,13 +206,25 @@
 	if sweptHour == now {
 		return nil
 	}
-	rows, err := r.table.Scan(ctx, keyPrefix, "", maxDeletes)
-	if err != nil {
-		return nil
-	}
 	var keys []string
-	for _, row := range rows {
-		if h, ok := hourOf(row.Key); ok && h < now-retention {
+	last := ""
+	for done := false; !done; {
+		rows, err := r.table.Scan(ctx, keyPrefix, last, maxDeletes)
+		if err != nil {
+			r.log.Debug("cannot scan for expired request counts; the next write scans again", "error", err)
+			return nil
+		}
+		done = len(rows) < maxDeletes
+		for _, row := range rows {
+			last = row.Key
+			h, ok := hourOf(row.Key)
+			if !ok {
+				continue // The key is no hour, so that no expired row is to be found by it.
+			}
+			if h >= now-retention || len(keys) == maxDeletes {
+				done = true // Keys are in the order of their hours.
+				break
+			}
 			keys = append(keys, row.Key)
 		}
 	}
--- a/reporter/recorder_test.go
+++ b/reporter/recorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -138,6 +139,25 @@
 	})
 }
 
+func TestForeignRows(t *testing.T) {
+	// More rows than one write may delete have keys that are no hours, and come
+	// before the expired one.
+	table, clock := &faultyTable{}, &timer.Manual{}
+	clock.Advance(200 * cowslipbend.Hour)
+	r := newRecorder("e1", table, clock)
+	expired := r.rowKey(minuteOf(clock.Wall()).hour() - retention - 1)
+	txn := cowslipbend.Txn{Puts: []cowslipbend.Put{{Key: expired, Value: []byte("{}")}}}
+	for i := range maxDeletes + 10 {
+		txn.Puts = append(txn.Puts, cowslipbend.Put{Key: fmt.Sprintf("%s!%d", keyPrefix, i), Value: []byte("x")})
+	}
+	_, err := table.Commit(t.Context(), txn)
+	assert.NilError(t, err)
+	r.Write(t.Context())
+	row, err := table.Get(t.Context(), expired)
+	assert.NilError(t, err)
+	assert.Equal(t, row.Version, int64(0), "the expired row is still there")
+}
+
 func TestRetention(t *testing.T) {
 	ctx := context.Background()
 	table, clock := &faultyTable{}, &timer.Manual{}
