router: a claim that is never seen belongs to nobody

After three changes that met a conflict, each with no claim left when it was read, a caller was told that another request had its id. The outcome is now unknown, with the advice to repeat. TestClaims has the case and fails before.

--- a/router/claims.go
+++ b/router/claims.go
@@ -89,6 +89,9 @@
 			return current, nil
 		case current.version != 0 && current.version != old.version:
 			return current, cowslipbend.Fail(cowslipbend.KindConflict, "request is already claimed by another entry", "join it")
+		case attempt >= maxChangeAttempts && cowslipbend.KindOf(err) == cowslipbend.KindConflict:
+			// There is no claim to join: each one was released before it was read.
+			return Claim{}, cowslipbend.Failf(cowslipbend.KindUnknown, err, "repeat the request with the same id", "claims of the request came and went")
 		case attempt >= maxChangeAttempts:
 			return Claim{}, err
 		}
