--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -132,7 +132,7 @@
 // them.
 func (e *Entry) entriesFor(r *cowslipbend.HostReport) []string {
 	urls := e.elector.EntryURLs()
-	if cowslipbend.HashURLs(urls) == r.EntriesHash {
+	if cowslipbend.HashStrings(urls) == r.EntriesHash {
 		return nil
 	}
 	return urls
--- a/host.go
+++ b/host.go
@@ -133,16 +133,16 @@
 	// owner of PairsEpoch has sent to the agent.
 	PairsVersion int64 `json:"pairs,omitempty"`
 	PairsEpoch   Epoch `json:"since,omitempty"`
-	// EntriesHash is the HashURLs of the entries that the agent knows.
+	// EntriesHash is the HashStrings of the entries that the agent knows.
 	EntriesHash uint32 `json:"entries,omitempty"`
 }
 
-// HashURLs returns a number that differs, except by chance, for lists that
+// HashStrings returns a number that differs, except by chance, for lists that
 // differ.
-func HashURLs(urls []string) uint32 {
+func HashStrings(list []string) uint32 {
 	h := fnv.New32a()
-	for _, url := range urls {
-		_, _ = h.Write([]byte(url)) // A hash returns no errors.
+	for _, text := range list {
+		_, _ = h.Write([]byte(text)) // A hash returns no errors.
 		_, _ = h.Write([]byte{0})
 	}
 	return h.Sum32()
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -25,17 +24,6 @@
 	pathStore     = "/flow/store"
 )
 
-// Limits of having another entry store a flow.
-const (
-	// handOverTimeout bounds one call to another entry.
-	handOverTimeout = 700 * cowslipbend.Millisecond
-	// firstPeers is how many entries besides the owner are asked first.
-	firstPeers = 2
-	// allPeersDelay is the time without success after which all other entries
-	// are asked: several times a call and a write to the store.
-	allPeersDelay = 150 * cowslipbend.Millisecond
-)
-
 // ownerTimeout bounds a call to the owner. It is short, as the owner answers from
 // memory.
 const ownerTimeout = 400 * cowslipbend.Millisecond
@@ -122,64 +110,6 @@
 	return i.handOver(ctx, f, peers)
 }
 
-// handOver has another entry store a flow. It asks the owner and a few others
-// first, and all the rest if none of them succeeds. Storing the same flow more
-// than once has no further effect.
-func (i *Intaker) handOver(ctx context.Context, f *cowslipbend.Flow, peers []string) error {
-	results := make(chan error, len(peers))
-	asked, pending := 0, 0
-	ask := func(count int) bool {
-		for _, url := range peers[asked : asked+count] {
-			if !i.goroutines.Go(func() { results <- i.caller.Call(ctx, url+pathStore, f, nil, handOverTimeout) }) {
-				return false
-			}
-		}
-		asked, pending = asked+count, pending+count
-		return true
-	}
-	peers = orderPeers(peers, i.owners.OwnerURL(), f.ID)
-	running := ask(min(firstPeers+1, len(peers)))
-	askAll := i.clock.After(allPeersDelay)
-	mayBeStored := false
-	for running && pending > 0 {
-		select {
-		case err := <-results:
-			if err == nil {
-				return nil
-			}
-			pending--
-			mayBeStored = mayBeStored || cowslipbend.KindOf(err) != cowslipbend.KindDown
-		case <-askAll:
-			running = ask(len(peers) - asked)
-		}
-		if pending == 0 {
-			running = ask(len(peers) - asked)
-		}
-	}
-	switch {
-	case mayBeStored || pending > 0:
-		return cowslipbend.Fail(cowslipbend.KindUnknown, "another entry may have stored the flow", "submit it again with the same id")
-	case !running:
-		return cowslipbend.Fail(cowslipbend.KindLeaving, "entry is shutting down", "submit the flow again")
-	}
-	return i.unavailable(nil)
-}
-
-// orderPeers returns the peers in the order in which they are asked to store a
-// flow: the owner, which has recently reached the store, then from a place that
-// differs by flow, so that the load is spread.
-func orderPeers(peers []string, owner string, id cowslipbend.JobID) []string {
-	if len(peers) == 0 {
-		return nil
-	}
-	start := int(cowslipbend.HashURLs([]string{string(id)}) % uint32(len(peers)))
-	ordered := slices.Concat(peers[start:], peers[:start])
-	if at := slices.Index(ordered, owner); at > 0 {
-		ordered = slices.Insert(slices.Delete(ordered, at, at+1), 0, owner)
-	}
-	return ordered
-}
-
 func outcome(err error) string {
 	if err == nil {
 		return "accepted"
--- a/intaker/store.go
+++ b/intaker/store.go
@@ -149,17 +149,6 @@
 	}
 }
 
-// handOverToOwner has the owner store a flow that the store has refused to take
-// from this entry: it may turn some entries away and serve others, in the first
-// place the owner. KindDown means that the flow is not stored.
-func (i *Intaker) handOverToOwner(p *submission) error {
-	owner := i.owners.OwnerURL()
-	if p.handedOver || owner == "" || i.owners.Conductor() != nil {
-		return i.unavailable(nil)
-	}
-	return i.handOver(p.ctx, p.flow, []string{owner})
-}
-
 func finish(group []*submission, err error) {
 	for _, p := range group {
 		p.done <- err
--- a/planner/report.go
+++ b/planner/report.go
@@ -1,9 +1,6 @@
 package planner
 
 import (
-	"maps"
-	"slices"
-
 	"cowslipbend.dev"
 	"cowslipbend.dev/estimator"
 )
@@ -44,6 +41,7 @@
 		if now.Sub(h.observedAt) >= observeInterval {
 			h.observedAt = now
 			p.estimator.Observe(h.estimatorSample())
+			h.forgetHeadroom()
 		}
 	}
 }
@@ -257,13 +255,13 @@
 		known = 0
 	}
 	for image := range a.pairsSentAt {
-		if h.servingImages[image].count == 0 {
+		if h.servingCountOf(image) == 0 {
 			delete(a.pairsSentAt, image)
 		}
 	}
 	var list []cowslipbend.ImagePair
-	for _, image := range slices.Sorted(maps.Keys(h.servingImages)) {
-		since := known
+	for i := range h.servingImages {
+		image, since := h.servingImages[i].image, known
 		switch sentAt, sent := a.pairsSentAt[image]; {
 		case !sent:
 			if a.pairsSentAt == nil {
