intaker: refuse at once while isolated from all other entries

An entry that no other one has answered in a hand-over refuses further flows at once for a second, truly, as it makes no call, and tells when to come back; then the next flow tries again. Idle connections are closed, so that this try dials anew and a call that cannot connect is known not to have been made.

TestIsolated fails before the change.

--- a/intaker/handover.go
+++ b/intaker/handover.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"slices"
+	"sync"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/internal/caller"
 )
 
 // Limits of having another entry store a flow.
@@ -16,12 +18,57 @@
 	// allPeersDelay is the time without success after which all other entries
 	// are asked: several times a call and a write to the store.
 	allPeersDelay = 150 * cowslipbend.Millisecond
+	// isolationInterval is how long an entry counts as isolated after a hand-over
+	// that no other entry answered. Then the next hand-over tries again.
+	isolationInterval = cowslipbend.Second
 )
 
 // handOver has another entry store a flow. It asks the owner and a few others
 // first, and all the rest if none of them succeeds. Storing the same flow more
 // than once has no further effect.
+//
+// While the entry is isolated from all others, a flow is refused without a call:
+// it is certainly not stored, and its caller reaches other entries sooner.
 func (i *Intaker) handOver(ctx context.Context, f *cowslipbend.Flow, peers []string) error {
+	if !i.isolation.mayCall(i.clock.Now()) {
+		return i.unavailable(nil)
+	}
+	err, hasAnswer := i.callPeers(ctx, f, peers)
+	if i.isolation.record(hasAnswer || len(peers) == 0, i.clock.Now()) {
+		// Calls on connections that have fallen silent end as unknown. A call that
+		// cannot connect has certainly not been made.
+		i.caller.Close()
+	}
+	return err
+}
+
+// isolation tells whether other entries have answered lately. It is safe for
+// concurrent use.
+type isolation struct {
+	mu    sync.Mutex
+	until cowslipbend.Time
+}
+
+// mayCall reports whether other entries may be called.
+func (s *isolation) mayCall(now cowslipbend.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now >= s.until
+}
+
+// record records whether any other entry has answered, and reports whether the
+// entry is isolated.
+func (s *isolation) record(answered bool, now cowslipbend.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.until = 0; !answered {
+		s.until = now.Add(isolationInterval)
+	}
+	return !answered
+}
+
+// callPeers implements handOver. It also reports whether any peer has answered.
+func (i *Intaker) callPeers(ctx context.Context, f *cowslipbend.Flow, peers []string) (err error, hasAnswer bool) {
 	peers = orderPeers(peers, i.owners.OwnerURL(), f.ID)
 	results := make(chan error, len(peers))
 	asked, answered := 0, 0
@@ -43,9 +90,10 @@
 		select {
 		case err := <-results:
 			if err == nil {
-				return nil
+				return nil, true
 			}
 			answered++
+			hasAnswer = hasAnswer || caller.HasReply(err)
 			mayBeStored = mayBeStored || cowslipbend.KindOf(err) != cowslipbend.KindDown
 		case <-askAll:
 			running = running && ask(len(peers))
@@ -56,11 +104,11 @@
 	}
 	switch {
 	case mayBeStored:
-		return cowslipbend.Fail(cowslipbend.KindUnknown, "another entry may have stored the flow", "submit it again with the same id")
+		return cowslipbend.Fail(cowslipbend.KindUnknown, "another entry may have stored the flow", "submit it again with the same id"), hasAnswer
 	case !running:
-		return cowslipbend.Fail(cowslipbend.KindLeaving, "entry is shutting down", "submit the flow again")
+		return cowslipbend.Fail(cowslipbend.KindLeaving, "entry is shutting down", "submit the flow again"), hasAnswer
 	}
-	return i.unavailable(nil)
+	return i.unavailable(nil), hasAnswer
 }
 
 // handOverToOwner has the owner store a flow that the store has refused to take
@@ -71,7 +119,8 @@
 	if p.handedOver || owner == "" || i.owners.Conductor() != nil {
 		return i.unavailable(nil)
 	}
-	return i.handOver(p.ctx, p.flow, []string{owner})
+	err, _ := i.callPeers(p.ctx, p.flow, []string{owner})
+	return err
 }
 
 // orderPeers returns the peers in the order in which they are asked to store a
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -54,6 +54,7 @@
 	metrics     *instrumenter.Instrumenter
 	submissions *ring.Ring[*submission]
 	goroutines  spawner.Group
+	isolation   isolation
 	// ready returns an error while callers should use another entry.
 	ready func() error
 	done  chan struct{}
--- a/intaker/intaker_test.go
+++ b/intaker/intaker_test.go
@@ -210,6 +210,39 @@
 	})
 }
 
+// TestIsolated plays an entry that reaches neither the store nor any other entry.
+func TestIsolated(t *testing.T) {
+	var calls atomic.Int64
+	silent := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		select {
+		case <-silent:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(srv.Close)
+	table := &keeper.Table{}
+	isolated, other := newTestEntry(t, table), newTestEntry(t, table)
+	isolated.owners.storeUnreachable, isolated.owners.peers = true, []string{srv.URL}
+	assertKind(t, isolated.Submit(contextFor(t, waitTimeout), flow("first")), cowslipbend.KindUnknown)
+	assert.Equal(t, calls.Load(), int64(1))
+	t.Run("flows are refused without a call", func(t *testing.T) {
+		assertKind(t, isolated.Submit(contextFor(t, waitTimeout), flow("second")), cowslipbend.KindDown)
+		assert.Equal(t, calls.Load(), int64(1))
+	})
+	t.Run("an entry that answers again is found", func(t *testing.T) {
+		close(silent)
+		isolated.owners.peers = []string{other.url}
+		ctx := contextFor(t, waitTimeout)
+		for isolated.Submit(ctx, flow("third")) != nil && ctx.Err() == nil {
+			time.Sleep(20 * time.Millisecond)
+		}
+		assertStored(t, table, "third", true)
+	})
+}
+
 func TestStates(t *testing.T) {
 	e := newTestEntry(t, &keeper.Table{})
 	q := &cowslipbend.Queue{ID: "q"}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 
@@ -56,9 +57,9 @@
 	if err != nil {
 		c.http.CloseIdleConnections()
 		if !connected.Load() {
-			return cowslipbend.Failf(cowslipbend.KindDown, err, "check that the peer runs and can be reached", "cannot connect to the peer")
+			return cowslipbend.Failf(cowslipbend.KindDown, noReply{err}, "check that the peer runs and can be reached", "cannot connect to the peer")
 		}
-		return cowslipbend.Failf(cowslipbend.KindUnknown, err, "call again", "peer did not reply")
+		return cowslipbend.Failf(cowslipbend.KindUnknown, noReply{err}, "call again", "peer did not reply")
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodySize))
@@ -78,6 +79,19 @@
 	return nil
 }
 
+// noReply is the cause of the error of a call that got no reply.
+type noReply struct{ error }
+
+// Unwrap returns the cause of the missing reply.
+func (e noReply) Unwrap() error { return e.error }
+
+// HasReply reports whether the peer has replied to the call that returned the
+// error.
+func HasReply(err error) bool {
+	_, missing := errors.AsType[noReply](err)
+	return !missing
+}
+
 // Handle registers a function for the calls to a path. It is called with the
 // decoded body and returns the reply.
 func Handle[In, Out any](mux *http.ServeMux, path string, handle func(context.Context, *In) (Out, error)) {
