--- a/intaker/store.go
+++ b/intaker/store.go
@@ -37,6 +37,8 @@
 	// handedOver is set if another entry has handed the flow over to this one,
 	// which then hands it over to no other.
 	handedOver bool
+	// mayBeStored is set once an attempt to store the flow may have taken effect.
+	mayBeStored bool
 	// claimed is set by storeGroups before it stores the flow, or by the caller
 	// to withdraw it, whichever is first.
 	claimed atomic.Bool
@@ -145,7 +147,8 @@
 	}
 	mayBeStored := cowslipbend.KindOf(err) == cowslipbend.KindUnknown
 	for _, p := range group {
-		i.goroutines.Go(func() { p.done <- i.storeAlone(ctx, p, mayBeStored) })
+		p.mayBeStored = mayBeStored
+		i.goroutines.Go(func() { p.done <- i.storeAlone(ctx, p) })
 	}
 }
 
@@ -158,39 +161,26 @@
 // storeAlone stores one submission before its caller's deadline. Once an attempt
 // may have taken effect, it no longer refuses the submission, but reports its
 // outcome as unknown.
-func (i *Intaker) storeAlone(ctx context.Context, p *submission, mayBeStored bool) error {
+func (i *Intaker) storeAlone(ctx context.Context, p *submission) error {
 	txn := cowslipbend.Txn{Conds: []cowslipbend.Cond{{Key: p.key}}, Puts: []cowslipbend.Put{{Key: p.key, Value: p.value}}}
 	for {
 		_, err := i.table.Commit(ctx, txn)
-		switch cowslipbend.KindOf(err) {
+		kind := cowslipbend.KindOf(err)
+		switch kind {
 		case "", cowslipbend.KindConflict:
 			return nil
 		case cowslipbend.KindUnknown:
-			mayBeStored = true
+			p.mayBeStored = true
 		case cowslipbend.KindDown:
-			if p.handedOver && !mayBeStored {
-				return i.unavailable(err) // The other entry tries again.
-			}
-			handOverErr := i.handOverToOwner(p)
-			if handOverErr == nil {
-				return nil
-			}
-			mayBeStored = mayBeStored || cowslipbend.KindOf(handOverErr) != cowslipbend.KindDown
 		default:
 			return err
 		}
-		if unreachable, peers := i.owners.StoreUnreachable(); unreachable {
-			// An entry that reaches the store finds out whether the flow is
-			// stored, and stores it if not.
-			handOverErr := i.handOver(p.ctx, p.flow, peers)
-			if handOverErr == nil || (!mayBeStored && cowslipbend.KindOf(handOverErr) == cowslipbend.KindDown) {
-				return handOverErr
-			}
-			mayBeStored = true
+		if done, err := i.storeElsewhere(p, kind == cowslipbend.KindDown); done {
+			return err
 		}
 		select {
 		case <-p.ctx.Done():
-			if mayBeStored {
+			if p.mayBeStored {
 				return cowslipbend.Failf(cowslipbend.KindUnknown, err, "submit it again with the same id", "flow may have been stored")
 			}
 			return i.unavailable(err)
@@ -198,3 +188,31 @@
 		}
 	}
 }
+
+// storeElsewhere has other entries store a submission that the store has refused to
+// take from this entry, or has not answered. It returns false if this entry has to
+// try again.
+func (i *Intaker) storeElsewhere(p *submission, refused bool) (done bool, err error) {
+	if refused && p.handedOver && !p.mayBeStored {
+		return true, i.unavailable(nil) // The other entry tries again.
+	}
+	if refused {
+		err := i.handOverToOwner(p)
+		if err == nil {
+			return true, nil
+		}
+		p.mayBeStored = p.mayBeStored || cowslipbend.KindOf(err) != cowslipbend.KindDown
+	}
+	unreachable, peers := i.owners.StoreUnreachable()
+	if !unreachable {
+		return false, nil
+	}
+	// An entry that reaches the store finds out whether the flow is stored, and
+	// stores it if not.
+	err = i.handOver(p.ctx, p.flow, peers)
+	if err == nil || (!p.mayBeStored && cowslipbend.KindOf(err) == cowslipbend.KindDown) {
+		return true, err
+	}
+	p.mayBeStored = true
+	return false, nil
+}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -37,17 +37,7 @@
 		}
 		s.triggerReport()
 	}
-	var results []cowslipbend.RunResult
-	switch {
-	case o.Life == "" || o.Life == life:
-		results = s.execute(o, life, draining)
-	case life != "" && startedBefore(o.Life, life):
-		results = rejectAll(o, cowslipbend.Absent, "runner has started again")
-	default:
-		// An agent that does not know this incarnation yet cannot tell what became
-		// of runs that an earlier process of it began.
-		s.log.Info("orders ignored: runner incarnation is unknown to this agent", "life", o.Life, "known", life)
-	}
+	results := s.executeFor(o, life, draining)
 	if o.Brief && !newEpoch && o.Life == life {
 		return cowslipbend.HostReport{Agent: s.settings.Life, URL: s.settings.URL, BriefFor: o.Life, Results: results}, nil
 	}
@@ -58,6 +48,20 @@
 	return r, nil
 }
 
+// executeFor executes orders if they are for the runner's incarnation.
+func (s *Supervisor) executeFor(o *cowslipbend.HostOrders, life cowslipbend.Incarnation, draining bool) []cowslipbend.RunResult {
+	switch {
+	case o.Life == "" || o.Life == life:
+		return s.execute(o, life, draining)
+	case life != "" && startedBefore(o.Life, life):
+		return rejectAll(o, cowslipbend.Absent, "runner has started again")
+	}
+	// An agent that does not know this incarnation yet cannot tell what became of
+	// runs that an earlier process of it began.
+	s.log.Info("orders ignored: runner incarnation is unknown to this agent", "life", o.Life, "known", life)
+	return nil
+}
+
 func (s *Supervisor) addRun(order *cowslipbend.RunStart) {
 	if s.runs[order.RunRef] == nil {
 		s.runs[order.RunRef] = &run{image: order.Image, fills: order.Fills, tailTarget: order.TailTarget, cpu: order.CPU, pace: 100}
