--- a/planner/bench_test.go
+++ b/planner/bench_test.go
@@ -13,9 +13,9 @@
 // hosts report between two decisions.
 func BenchmarkDecide(b *testing.B) {
 	const (
-		hosts, reportsPerRound      = 240, 20
-		flows, tasks                = 40, 50
-		servingImages, fillingImges = 12, 30
+		hosts, reportsPerRound       = 240, 20
+		flows, tasks                 = 40, 50
+		servingImages, fillingImages = 12, 30
 	)
 	plan := planner.New(epoch, options())
 	plan.SetRules(&cowslipbend.Rules{})
@@ -58,7 +58,7 @@
 	for i := range hosts / 4 {
 		submit(fmt.Sprint("serving", i), i%servingImages, false, 12, 3*cowslipbend.Core)
 	}
-	for i := range fillingImges {
+	for i := range fillingImages {
 		submit(fmt.Sprint("running", i), i, true, 20, 2*cowslipbend.Core)
 	}
 	for range 6 {
@@ -74,7 +74,7 @@
 		}
 	}
 	for i := range flows {
-		submit(fmt.Sprint("waiting", i), i%fillingImges, true, tasks, 14*cowslipbend.Core)
+		submit(fmt.Sprint("waiting", i), i%fillingImages, true, tasks, 14*cowslipbend.Core)
 	}
 	b.ReportAllocs()
 	n := 0
