instrumenter, estimator: one place for what stood twice

counterVec takes several labels, so that the counter of calls needs no copy of it. The list of filling images of a serving one is kept in setPair alone. Behaviour stays.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -269,7 +269,6 @@
 		}
 		if !ok {
 			pair.estimate = e.estimateOf(key)
-			e.fillings[serving] = append(e.fillings[serving], f.Image)
 		}
 		gain := pair.variance * f.Share / variance
 		pair.mean = min(max(pair.mean+gain*innovation, 0), maxInterference)
@@ -277,7 +276,7 @@
 		if pair.publish(e.version + 1) {
 			e.version++
 		}
-		e.pairs[key] = pair
+		e.setPair(key, pair)
 	}
 	gain := baseLoad.variance / variance
 	baseLoad.mean = min(max(baseLoad.mean+gain*innovation, 0), maxMeasurableLoad)
@@ -335,11 +334,15 @@
 func (e *Estimator) UpdatePairs(pairs []cowslipbend.ImagePair) {
 	for _, p := range pairs {
 		key := imagePair{p.Serving, p.Filling}
-		pair, ok := e.pairs[key]
-		if !ok {
-			e.fillings[p.Serving] = append(e.fillings[p.Serving], p.Filling)
-		}
+		pair := e.pairs[key]
 		pair.estimate = estimate{mean: p.Interference, variance: p.Variance}
-		e.pairs[key] = pair
+		e.setPair(key, pair)
+	}
+}
+
+func (e *Estimator) setPair(key imagePair, pair pairEstimate) {
+	if _, ok := e.pairs[key]; !ok {
+		e.fillings[key.serving] = append(e.fillings[key.serving], key.filling)
 	}
+	e.pairs[key] = pair
 }
--- a/instrumenter/instrumenter.go
+++ b/instrumenter/instrumenter.go
@@ -35,8 +35,8 @@
 	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
 }
 
-func counterVec(name, help, label string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
+func counterVec(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
 }
 
 func histogram(name, help string) prometheus.Histogram {
@@ -57,10 +57,8 @@
 		runEnds:           counterVec("cowslip_run_ends_total", "Runs that ended, by kind of end.", "how"),
 		leaseRenewals:     counterVec("cowslip_holds_total", "Renewals of the leases of all runs at the runner, by outcome.", "outcome"),
 		paceChanges:       counter("cowslip_paces_total", "Changes of the speed limit (pace) of filling runs."),
-		callBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "cowslip_call_bytes_total", Help: "Bytes of the bodies of calls to and from other processes and the store.",
-		}, []string{"call", "direction"}),
-		lostRunners: counter("cowslip_runners_lost_total", "Runners declared lost: nothing listened at their address, or their lease lapsed without a reply."),
+		callBytes:         counterVec("cowslip_call_bytes_total", "Bytes of the bodies of calls to and from other processes and the store.", "call", "direction"),
+		lostRunners:       counter("cowslip_runners_lost_total", "Runners declared lost: nothing listened at their address, or their lease lapsed without a reply."),
 	}
 	reg.MustRegister(i.submissions, i.submissionSeconds, i.commitSeconds, i.startOrders, i.stopOrders, i.unconfirmedOrders, i.takeovers, i.startResults, i.runEnds, i.leaseRenewals, i.paceChanges, i.lostRunners, i.callBytes)
 	return i
