intaker: a hand-over without an answer closes no connections twice

Call closes the idle connections itself when it gets no reply, so that the Close which added did nothing more; its body names it as part of the mending, which is wrong. callPeers returns its error last. The comment of handedOver said that such a flow is never handed over again; after an attempt without an answer it still is. Behaviour stays.

--- a/intaker/handover.go
+++ b/intaker/handover.go
@@ -33,12 +33,8 @@
 	if !i.isolation.mayCall(i.clock.Now()) {
 		return i.unavailable(nil)
 	}
-	err, hasAnswer := i.callPeers(ctx, f, peers)
-	if i.isolation.record(hasAnswer || len(peers) == 0, i.clock.Now()) {
-		// Calls on connections that have fallen silent end as unknown. A call that
-		// cannot connect has certainly not been made.
-		i.caller.Close()
-	}
+	hasAnswer, err := i.callPeers(ctx, f, peers)
+	i.isolation.record(hasAnswer || len(peers) == 0, i.clock.Now())
 	return err
 }
 
@@ -56,19 +52,17 @@
 	return now >= s.until
 }
 
-// record records whether any other entry has answered, and reports whether the
-// entry is isolated.
-func (s *isolation) record(answered bool, now cowslipbend.Time) bool {
+// record records whether any other entry has answered.
+func (s *isolation) record(answered bool, now cowslipbend.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.until = 0; !answered {
 		s.until = now.Add(isolationInterval)
 	}
-	return !answered
 }
 
 // callPeers implements handOver. It also reports whether any peer has answered.
-func (i *Intaker) callPeers(ctx context.Context, f *cowslipbend.Flow, peers []string) (err error, hasAnswer bool) {
+func (i *Intaker) callPeers(ctx context.Context, f *cowslipbend.Flow, peers []string) (hasAnswer bool, err error) {
 	peers = orderPeers(peers, i.owners.OwnerURL(), f.ID)
 	results := make(chan error, len(peers))
 	asked, answered := 0, 0
@@ -90,7 +84,7 @@
 		select {
 		case err := <-results:
 			if err == nil {
-				return nil, true
+				return true, nil
 			}
 			answered++
 			hasAnswer = hasAnswer || caller.HasReply(err)
@@ -104,11 +98,11 @@
 	}
 	switch {
 	case mayBeStored:
-		return cowslipbend.Fail(cowslipbend.KindUnknown, "another entry may have stored the flow", "submit it again with the same id"), hasAnswer
+		return hasAnswer, cowslipbend.Fail(cowslipbend.KindUnknown, "another entry may have stored the flow", "submit it again with the same id")
 	case !running:
-		return cowslipbend.Fail(cowslipbend.KindLeaving, "entry is shutting down", "submit the flow again"), hasAnswer
+		return hasAnswer, cowslipbend.Fail(cowslipbend.KindLeaving, "entry is shutting down", "submit the flow again")
 	}
-	return i.unavailable(nil), hasAnswer
+	return hasAnswer, i.unavailable(nil)
 }
 
 // handOverToOwner has the owner store a flow that the store has refused to take
@@ -119,7 +113,7 @@
 	if p.handedOver || owner == "" || i.owners.Conductor() != nil {
 		return i.unavailable(nil)
 	}
-	err, _ := i.callPeers(p.ctx, p.flow, []string{owner})
+	_, err := i.callPeers(p.ctx, p.flow, []string{owner})
 	return err
 }
 
--- a/intaker/store.go
+++ b/intaker/store.go
@@ -34,8 +34,8 @@
 	key   string
 	value []byte
 	done  chan error
-	// handedOver is set if another entry has handed the flow over to this one,
-	// which then hands it over to no other.
+	// handedOver is set if another entry has handed the flow over to this one. It
+	// tries others if the store refuses the flow here.
 	handedOver bool
 	// mayBeStored is set once an attempt to store the flow may have taken effect.
 	mayBeStored bool
@@ -193,10 +193,10 @@
 // take from this entry, or has not answered. It returns false if this entry has to
 // try again.
 func (i *Intaker) storeElsewhere(p *submission, refused bool) (done bool, err error) {
-	if refused && p.handedOver && !p.mayBeStored {
-		return true, i.unavailable(nil) // The other entry tries again.
-	}
 	if refused {
+		if p.handedOver && !p.mayBeStored {
+			return true, i.unavailable(nil)
+		}
 		err := i.handOverToOwner(p)
 		if err == nil {
 			return true, nil
