--- a/planner/delay.go
+++ b/planner/delay.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"slices"
 	"sort"
 
 	"cowslipbend.dev"
@@ -119,15 +118,15 @@
 	}
 	d.Round, d.Step, d.Waiting = r.number, s.index, s.waitingCount
 	key := stepKey{f.def.ID, r.number, s.index}
-	advised, _ := p.advisedHosts(f, key, hosts, now)
-	rack := s.rack(p)
+	needsAdvice, rack := p.policy(f).NeedsAdvice, s.rack(p)
+	_, tickets := p.advisedHosts(f, key, hosts, now)
 	for _, h := range hosts {
 		reason := h.misfit(s.def, key)
 		switch {
 		case reason != "":
 		case rack != "" && h.spec.Rack != rack:
 			reason = DelayRack
-		case !slices.Contains(advised, h):
+		case needsAdvice && tickets[h.spec.Runner] == "":
 			reason = DelayAdvice
 		case s.def.Fills:
 			rate := p.expectedRate(h, s.def, 0)
