--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -70,7 +70,9 @@
 // New creates an entry and opens its listeners.
 func New(s platform.Settings, clock cowslipbend.Clock, log hclog.Logger) (*Entry, error) {
 	e := &Entry{settings: s, clock: clock, log: log, killed: make(chan struct{})}
-	reg := meter.NewRegistry(func() float64 { return float64(e.rulesVersion()) })
+	reg := meter.NewRegistry(func() float64 { return float64(e.ruler.Version()) })
+	meter.Gauge(reg, "cowslip_config_read_age_seconds", "Time since the table with the configuration was last read to its end.",
+		func() float64 { return e.ruler.ReadAge().Duration().Seconds() })
 	instruments := instrumenter.New(reg)
 	e.metrics, e.instruments = reg, instruments
 	e.store, e.caller = platform.NewStore(s.Store, clock, instruments), caller.New(instruments)
@@ -138,15 +140,6 @@
 	return urls
 }
 
-// rulesVersion returns the version of the rules in force, or zero if none are
-// loaded.
-func (e *Entry) rulesVersion() int64 {
-	if r := e.ruler.Rules(); r != nil {
-		return r.Version
-	}
-	return 0
-}
-
 // ready returns the reason why the load balancer must not send callers to this
 // entry, or nil if it may.
 func (e *Entry) ready() error {
--- a/ruler/ruler.go
+++ b/ruler/ruler.go
@@ -15,6 +15,8 @@
 	// rules must be in force.
 	pollTimeout = cowslipbend.Second
 	retryDelay  = 150 * cowslipbend.Millisecond
+	// warnInterval is the time between log lines while reads fail.
+	warnInterval = 5 * cowslipbend.Second
 )
 
 // Source locates and decodes the row that holds the rules.
@@ -33,12 +35,14 @@
 	log    hclog.Logger
 	mu     sync.Mutex
 	rules  *cowslipbend.Rules
+	// readAt is when the table was last read to its end.
+	readAt cowslipbend.Time
 	done   chan struct{}
 }
 
 // New returns a ruler that has no rules until Run reads them.
 func New(s Source, clock cowslipbend.Clock, log hclog.Logger) *Ruler {
-	return &Ruler{source: s, clock: clock, log: log, done: make(chan struct{})}
+	return &Ruler{source: s, clock: clock, log: log, readAt: clock.Now(), done: make(chan struct{})}
 }
 
 // Done returns a channel that is closed when Run has returned.
@@ -51,29 +55,42 @@
 	return r.rules
 }
 
+// Version returns the version of the rules in force, or zero before the first were
+// read.
+func (r *Ruler) Version() int64 {
+	if rules := r.Rules(); rules != nil {
+		return rules.Version
+	}
+	return 0
+}
+
+// ReadAge returns the time since the table was last read to its end, or since the
+// ruler was made. The rules in force may be out of date by as much.
+func (r *Ruler) ReadAge() cowslipbend.Span {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock.Now().Sub(r.readAt)
+}
+
 // Run watches the table and adopts newer rules until the context is done.
 // After an error it reads the whole table again.
 func (r *Ruler) Run(ctx context.Context) error {
 	defer close(r.done)
 	var version int64
-	failing := false
+	var failures failureLog
 	for ctx.Err() == nil {
 		changes, err := cowslipbend.Read(ctx, r.source.Feed, r.source.Table, version, pollTimeout)
 		if err != nil {
-			if !failing {
-				r.log.Warn("cannot read changes of the rules table; keeping the rules in force", "error", err)
-			}
-			failing, version = true, 0
+			r.recordFailure(&failures, err)
+			version = 0
 			select {
 			case <-ctx.Done():
 			case <-r.clock.After(retryDelay):
 			}
 			continue
 		}
-		if failing {
-			r.log.Info("reading changes of the rules table has recovered")
-		}
-		failing, version = false, changes.Version
+		r.recordRead(&failures)
+		version = changes.Version
 		for _, row := range changes.Rows {
 			if row.Key == r.source.Key {
 				r.adopt(row)
@@ -83,6 +100,34 @@
 	return nil
 }
 
+// failureLog tells which of a series of failed reads have been logged.
+type failureLog struct {
+	count    int
+	loggedAt cowslipbend.Time
+}
+
+// recordFailure logs the first failure of a series, and one at each warnInterval.
+func (r *Ruler) recordFailure(f *failureLog, err error) {
+	now := r.clock.Now()
+	f.count++
+	if f.count > 1 && now.Sub(f.loggedAt) < warnInterval {
+		return
+	}
+	f.loggedAt = now
+	r.log.Warn("cannot read changes of the rules table; keeping the rules in force", "version", r.Version(), "age", r.ReadAge().String(), "failures", f.count, "error", err)
+}
+
+// recordRead ends a series of failures.
+func (r *Ruler) recordRead(f *failureLog) {
+	if f.count > 0 {
+		r.log.Info("reading changes of the rules table has recovered", "age", r.ReadAge().String(), "failures", f.count)
+	}
+	*f = failureLog{}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readAt = r.clock.Now()
+}
+
 func (r *Ruler) adopt(row cowslipbend.Row) {
 	rules, err := r.source.Decode(row.Value)
 	if err != nil {
--- a/ruler/ruler_test.go
+++ b/ruler/ruler_test.go
@@ -1,8 +1,10 @@
 package ruler_test
 
 import (
+	"bytes"
 	"context"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,3 +58,43 @@
 	cancel()
 	assert.NilError(t, g.Wait())
 }
+
+// failingFeed fails the first reads, and ends the run after the first that succeeds.
+type failingFeed struct {
+	keeper.Table
+	failures int
+	end      context.CancelFunc
+}
+
+func (f *failingFeed) Snapshot(ctx context.Context, table string) (cowslipbend.Changes, error) {
+	if f.failures > 0 {
+		f.failures--
+		return cowslipbend.Changes{}, cowslipbend.Fail(cowslipbend.KindDown, "no reply", "wait")
+	}
+	f.end()
+	return f.Table.Snapshot(ctx, table)
+}
+
+// skippingClock is a clock on which every wait ends at once and advances it.
+type skippingClock struct{ timer.Manual }
+
+func (c *skippingClock) After(s cowslipbend.Span) <-chan cowslipbend.Time {
+	ch := c.Manual.After(s)
+	c.Advance(s)
+	return ch
+}
+
+// TestFailureLog guards against an outage that is logged only at its start, from
+// which its end and length cannot be told.
+func TestFailureLog(t *testing.T) {
+	ctx, end := context.WithCancel(t.Context())
+	feed := &failingFeed{failures: 100, end: end}
+	var out bytes.Buffer
+	log := hclog.New(&hclog.LoggerOptions{Output: &out, JSONFormat: true})
+	r := ruler.New(ruler.Source{Feed: feed, Table: "op", Key: "op/config", Decode: decode}, &skippingClock{}, log)
+	assert.NilError(t, r.Run(ctx))
+	assert.Equal(t, strings.Count(out.String(), "cannot read changes"), 3, "one line in each 5 s of the 15 s")
+	assert.Assert(t, strings.Contains(out.String(), `"age":"15s"`), "%s", out.String())
+	assert.Assert(t, strings.Contains(out.String(), `"failures":100`), "%s", out.String())
+	assert.Equal(t, r.ReadAge(), cowslipbend.Span(0))
+}
