--- a/internal/piper/piper.go
+++ b/internal/piper/piper.go
@@ -15,8 +15,13 @@
 	"cowslipbend.dev"
 )
 
-// tick is how often a link passes bytes on.
-const tick = 10 * cowslipbend.Millisecond
+const (
+	// tick is how often a link passes bytes on.
+	tick = 10 * cowslipbend.Millisecond
+	// closeTime is longer than a write waits for its tick, and than a server delays the
+	// closing of a connection with unread bytes.
+	closeTime = cowslipbend.Second
+)
 
 // Link is the link between a client and its server.
 type Link struct {
@@ -49,7 +54,7 @@
 		transport.CloseIdleConnections()
 		_ = server.Close()
 		_ = g.Wait()
-		time.Sleep(2 * tick.Duration()) // Lets writes that wait for the link see the closed connection.
+		time.Sleep(closeTime.Duration())
 	})
 	return &http.Client{Transport: transport}
 }
