publisher: limit the pauses of a pull instead of the whole pull

With a set that needs longer over the link of either, it failed each time and the set was never in force there. dialer.Watched limits the wait for the reply and the pauses of its transfer.

TestLargeSetOverNarrowLink failed before (revision 0 after 3 s), and passes.

--- a/publisher/holder.go
+++ b/publisher/holder.go
@@ -18,7 +18,7 @@
 // Bounds on pulling from peers.
 const (
 	pullBacklog = 16
-	pullTimeout = cowslipbend.Second
+	pullTimeout = cowslipbend.Second // until the reply begins
 )
 
 // Holder holds the configuration in force in one process. Its revision never
@@ -48,8 +48,13 @@
 
 // NewHolder returns a holder of the empty set at revision 0.
 func NewHolder(secret string, log hclog.Logger) *Holder {
+	return newHolder(dialer.Pooled(secret), log)
+}
+
+// newHolder returns a holder that calls peers by the client.
+func newHolder(client *http.Client, log hclog.Logger) *Holder {
 	return &Holder{
-		log: log, http: dialer.Pooled(secret), newerPeers: ring.New[peerRevision](pullBacklog),
+		log: log, http: dialer.Watched(client, pullTimeout), newerPeers: ring.New[peerRevision](pullBacklog),
 		done: make(chan struct{}), set: &cowslipbend.Set{},
 	}
 }
@@ -150,8 +155,6 @@
 func (h *Holder) Done() <-chan struct{} { return h.done }
 
 func (h *Holder) pull(ctx context.Context, peer string) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout.Duration())
-	defer cancel()
 	client := control.NewConfigProtobufClient(peer, h.http)
 	reply, err := client.Pull(ctx, &control.PullRequest{Revision: int64(h.Revision())})
 	if err == nil && len(reply.GetSet()) > 0 {
