storer: limit the pauses of a transfer instead of the whole transfer

One that needs longer over the link could neither be written nor be read, so a successor would never have loaded its pool.

TestLargeObjectOverNarrowLink (3.75 MB at 10 Mbit/s) failed before with 'store does not answer', though it did, and passes. Found by reading; not seen in a run.

--- a/storer/client.go
+++ b/storer/client.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/internal/dialer"
 )
 
 // Bounds of one request.
@@ -26,16 +27,19 @@
 // Client is the cowslipbend.Table of the platform at a URL; Objects returns
 // its object store. It is safe for concurrent use.
 type Client struct {
-	base    string
-	http    *http.Client
-	timeout cowslipbend.Span
+	base string
+	http *http.Client
 }
 
-// New returns a client of the platform at the base URL. The timeout bounds
-// each request.
+// New returns a client of the platform at the base URL. The timeout is
+// that of dialer.Watched.
 func New(base string, timeout cowslipbend.Span) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 32}
-	return &Client{base: base, http: &http.Client{Transport: transport}, timeout: timeout}
+	return newClient(base, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}, timeout)
+}
+
+// newClient returns a client that calls the platform by an HTTP client.
+func newClient(base string, client *http.Client, timeout cowslipbend.Span) *Client {
+	return &Client{base: base, http: dialer.Watched(client, timeout)}
 }
 
 // Close closes the idle connections.
@@ -112,8 +116,6 @@
 // exchange sends one request and returns the body of the response. It returns
 // KindUnknown if the response to a write is lost.
 func (c *Client) exchange(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout.Duration())
-	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, cowslipbend.Failf(cowslipbend.KindInvalid, err, "give the platform's URL as http://IP:PORT", "invalid platform URL")
