--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -40,10 +40,9 @@
 
 // Call posts in to a URL and decodes the reply into out, unless out is nil.
 // KindDown means that the request was not sent, KindUnknown that it may have
-// taken effect. Other kinds come from the peer.
+// taken effect. Other kinds come from the peer. The timeout is that of
+// dialer.Watched.
 func (c *Caller) Call(ctx context.Context, url string, in, out any, timeout cowslipbend.Span) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
-	defer cancel()
 	body, err := json.Marshal(in)
 	if err != nil {
 		return cowslipbend.Failf(cowslipbend.KindBroken, err, "report this", "cannot encode the body of the call")
@@ -53,7 +52,7 @@
 		return cowslipbend.Failf(cowslipbend.KindInvalid, err, "report this", "URL of the peer is not valid")
 	}
 	req, connected := dialer.TrackConnected(req)
-	resp, err := c.http.Do(req)
+	resp, err := dialer.Watched(c.http, timeout).Do(req)
 	if err != nil {
 		c.http.CloseIdleConnections()
 		if !connected.Load() {
