--- a/stand/soaker/fleet.go
+++ b/stand/soaker/fleet.go
@@ -40,6 +40,16 @@
 	leaseCheckInterval = 20 * cowslipbend.Millisecond  // between checks for lapsed leases
 )
 
+const (
+	// narrowRate is the bandwidth between the store and every second entry in bytes per
+	// second, 2 Mbit/s.
+	narrowRate = 2_000_000 / 8
+	// rulesChanges is how often the rules change during a run. Each change adds
+	// addedQueues, until the rules need three seconds over narrowRate.
+	rulesChanges = 3
+	addedQueues  = 1400
+)
+
 // taskDurations are the run times of tasks. Successive incarnations of a runner
 // use them in turn, so that some tasks end before a lost owner is replaced and
 // others are still running then.
@@ -122,7 +132,7 @@
 func newFleet(ctx context.Context, o Options) (*fleet, error) {
 	f := &fleet{opts: o, store: metastore.New(), pool: hostrunner.NewPool()}
 	f.pool.ExpectSteps(stepTasks...)
-	if err := f.publishRules(ctx, 1, baseRoute); err != nil {
+	if err := f.publishRules(ctx, 0, baseRoute); err != nil {
 		return f, err
 	}
 	if err := f.serve(f.address(f.ip(0, 0), portStore), f.store.Handler()); err != nil {
@@ -141,13 +151,17 @@
 	return f, nil
 }
 
-// publishRules publishes operator rules with a route for each prefix.
-func (f *fleet) publishRules(ctx context.Context, version int, prefixes ...string) error {
+// publishRules publishes operator rules with a route for each prefix, after a number of
+// changes that added other queues.
+func (f *fleet) publishRules(ctx context.Context, changes int, prefixes ...string) error {
+	for i := range changes * addedQueues {
+		prefixes = append(prefixes, fmt.Sprintf("/other%05d/", i))
+	}
 	var routes []string
 	for i, prefix := range prefixes {
 		routes = append(routes, fmt.Sprintf(`{"name":"q%d","host":"jobs.example","path_prefix":"%s","service":"ledger","target_latency_ms":250,"max_attempts":5,"stretch":1.5}`, i, prefix))
 	}
-	value := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"ledger","rejects_overload":true}],"limits":{"max_body_bytes":65536}}`, version, strings.Join(routes, ","))
+	value := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"ledger","rejects_overload":true}],"limits":{"max_body_bytes":65536}}`, changes+1, strings.Join(routes, ","))
 	_, err := f.store.Table().Commit(ctx, cowslipbend.Txn{Puts: []cowslipbend.Put{{Key: "op/config", Value: []byte(value)}}})
 	return err
 }
@@ -165,10 +179,10 @@
 	}
 }
 
-// startMember starts a process behind a proxy to the store.
-func (f *fleet) startMember(name, bin, ip string, kind, n int, extra ...string) (*member, error) {
+// startMember starts a process behind a proxy to the store with a bandwidth.
+func (f *fleet) startMember(name, bin, ip string, kind, n, rate int, extra ...string) (*member, error) {
 	storeAddr := f.address(f.ip(kind+2, n), portStoreProxy)
-	store, err := newProxy(storeAddr, f.address(f.ip(0, 0), portStore))
+	store, err := newProxy(storeAddr, f.address(f.ip(0, 0), portStore), rate)
 	if err != nil {
 		return nil, err
 	}
@@ -183,7 +197,7 @@
 func (f *fleet) startEntry(n int) error {
 	ip := f.ip(1, n)
 	front := f.address(ip, portFront)
-	m, err := f.startMember(fmt.Sprintf("entry%d", n), "entry", ip, 1, n,
+	m, err := f.startMember(fmt.Sprintf("entry%d", n), "entry", ip, 1, n, n%2*narrowRate,
 		"listen.front="+front, "listen.readiness="+f.address(ip, portReady), "listen.control="+f.address(ip, portControl))
 	if m != nil {
 		m.front = front
@@ -201,10 +215,10 @@
 		return err
 	}
 	var err error
-	if h.runnerProxy, err = newProxy(proxyAddr, targetAddr); err != nil {
+	if h.runnerProxy, err = newProxy(proxyAddr, targetAddr, 0); err != nil {
 		return err
 	}
-	m, err := f.startMember(fmt.Sprintf("agent%d", n), "agent", ip, 2, n, "listen.control="+h.control, "app="+proxyAddr)
+	m, err := f.startMember(fmt.Sprintf("agent%d", n), "agent", ip, 2, n, 0, "listen.control="+h.control, "app="+proxyAddr)
 	if m != nil {
 		m.host = h
 		f.agents = append(f.agents, m)
--- a/stand/soaker/proxy.go
+++ b/stand/soaker/proxy.go
@@ -34,6 +34,7 @@
 type proxy struct {
 	ln         net.Listener
 	target     string
+	rate       int // bytes per second of each connection and direction; 0: no limit
 	goroutines spawner.Group
 
 	mu    sync.Mutex
@@ -41,12 +42,12 @@
 	conns map[net.Conn]bool
 }
 
-func newProxy(addr, target string) (*proxy, error) {
+func newProxy(addr, target string, rate int) (*proxy, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, cowslipbend.Failf(cowslipbend.KindBusy, err, "choose another --base", "proxy cannot listen on %s", addr)
 	}
-	p := &proxy{ln: ln, target: target, conns: map[net.Conn]bool{}}
+	p := &proxy{ln: ln, target: target, rate: rate, conns: map[net.Conn]bool{}}
 	p.goroutines.Go(p.accept)
 	return p, nil
 }
@@ -151,6 +152,9 @@
 			case modeDelay:
 				time.Sleep(chunkDelay.Duration())
 			}
+			if p.rate > 0 {
+				time.Sleep(time.Duration(n) * time.Second / time.Duration(p.rate))
+			}
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
 			}
--- a/stand/soaker/proxy_test.go
+++ b/stand/soaker/proxy_test.go
@@ -53,7 +53,7 @@
 	const long, short = time.Minute, 50 * time.Millisecond
 	start := func(t *testing.T) (*proxy, net.Conn) {
 		t.Helper()
-		p, err := newProxy("127.0.0.1:0", echo(t))
+		p, err := newProxy("127.0.0.1:0", echo(t), 0)
 		assert.NilError(t, err)
 		t.Cleanup(p.close)
 		c, err := net.Dial("tcp", p.ln.Addr().String())
--- a/stand/soaker/soaker.go
+++ b/stand/soaker/soaker.go
@@ -126,26 +126,40 @@
 	return ctx.Err()
 }
 
-// inject starts the faults of the seed and waits until all are reverted.
+// inject starts the faults of the seed, changes the rules between them, and waits
+// until all faults are reverted.
 func (r *Report) inject(ctx context.Context, f *fleet) error {
 	rnd := rand.New(rand.NewPCG(uint64(f.opts.Seed), 1<<33))
-	end := time.Now().Add(f.opts.InjectionTime.Duration())
-	published := false
+	begin := time.Now()
+	end := begin.Add(f.opts.InjectionTime.Duration())
+	changes := 0
 	for time.Now().Before(end) && ctx.Err() == nil {
 		if what := f.startRandomFault(ctx, rnd); what != "" {
 			r.Injected++
 			f.opts.Log.Info("fault injected", "seed", f.opts.Seed, "what", what)
 		}
 		sleep(ctx, time.Duration(rnd.Int64N(int64(maxFaultGap))))
-		if !published && time.Until(end) < f.opts.InjectionTime.Duration()/2 {
-			published = true
-			if err := f.publishRules(ctx, 2, baseRoute, addedRoute); err != nil {
+		if time.Since(begin)*(rulesChanges+1) > f.opts.InjectionTime.Duration()*time.Duration(changes+1) {
+			changes++
+			if err := f.changeRules(ctx, changes); err != nil {
 				return err
 			}
 		}
 	}
 	f.activeFaults.Wait()
-	return nil
+	if changes == rulesChanges {
+		return nil
+	}
+	return f.changeRules(ctx, rulesChanges)
+}
+
+// changeRules publishes the rules with one change more. The last one adds the route
+// that settle asks for.
+func (f *fleet) changeRules(ctx context.Context, changes int) error {
+	if changes < rulesChanges {
+		return f.publishRules(ctx, changes, baseRoute)
+	}
+	return f.publishRules(ctx, changes, baseRoute, addedRoute)
 }
 
 // settle waits until all accepted jobs have ended and all entries serve the
