dialer: a body above its limit is an error

Clients cut a body at their limit and took the first part for the whole.

TestObjectAboveLimit failed before (no error).

--- a/executor/client.go
+++ b/executor/client.go
@@ -110,7 +110,7 @@
 }
 
 func decode(resp *http.Response, out any) error {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplySize))
+	data, err := io.ReadAll(dialer.Bound(resp.Body, maxReplySize))
 	if err != nil {
 		return cowslipbend.Failf(cowslipbend.KindDown, err, "try again", "worker's reply is truncated")
 	}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -61,7 +61,7 @@
 		return cowslipbend.Failf(cowslipbend.KindUnknown, noReply{err}, "call again", "peer did not reply")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodySize))
+	data, err := io.ReadAll(dialer.Bound(resp.Body, maxBodySize))
 	if err != nil {
 		return cowslipbend.Failf(cowslipbend.KindUnknown, err, "call again", "reply of the peer was cut off")
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -149,7 +149,7 @@
 		return transportError(method, err)
 	}
 	defer resp.Body.Close()
-	data, err = io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	data, err = io.ReadAll(dialer.Bound(resp.Body, maxReply))
 	if err != nil {
 		return transportError(method, err)
 	}
--- a/storer/client.go
+++ b/storer/client.go
@@ -125,7 +125,7 @@
 		return nil, transportError(method, err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	data, err := io.ReadAll(dialer.Bound(resp.Body, maxReply))
 	if err != nil {
 		return nil, transportError(method, err)
 	}
--- a/storer/client_test.go
+++ b/storer/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 
@@ -36,3 +37,18 @@
 		assert.NilError(t, c.Put(t.Context(), "x", object))
 	})
 }
+
+// TestObjectAboveLimit guards against an object whose first part is taken for the whole.
+func TestObjectAboveLimit(t *testing.T) {
+	const part = 1 << 20
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range maxReply/part + 1 {
+			_, _ = w.Write(make([]byte, part))
+		}
+	}))
+	defer srv.Close()
+	c := New(srv.URL, 10*cowslipbend.Second)
+	defer c.Close()
+	_, err := c.Objects().Get(t.Context(), "x")
+	assert.ErrorContains(t, err, "larger than 67108864 bytes")
+}
