administrator: pass a forwarded response on whole or not at all

An entry that forwards an operator's request to the owner of a pool had written the status before it read the owner's response. When that broke off, or exceeded the limit, the operator got the status 200 and the first part of the body, with nothing to tell that the rest was missing. Now the response is read first, and the operator gets the error.

--- a/administrator/jobs.go
+++ b/administrator/jobs.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/internal/dialer"
 	"cowslipbend.dev/scheduler"
 )
 
@@ -117,11 +118,11 @@
 		return cowslipbend.Failf(cowslipbend.KindUnknown, err, "repeat it with the same id", "owner of the pool did not respond")
 	}
 	defer resp.Body.Close()
-	c.Response().Header().Set("Content-Type", resp.Header.Get("Content-Type"))
-	c.Response().WriteHeader(resp.StatusCode)
-	_, err = io.Copy(c.Response(), io.LimitReader(resp.Body, maxBody))
+	// The whole response is read first, as a response that has begun can no longer
+	// become an error.
+	body, err := io.ReadAll(dialer.Bound(resp.Body, maxBody))
 	if err != nil {
 		return cowslipbend.Failf(cowslipbend.KindUnknown, err, "repeat it with the same id", "response of the pool's owner was cut off")
 	}
-	return nil
+	return c.Blob(resp.StatusCode, resp.Header.Get("Content-Type"), body)
 }
