throttler: release throttled batch when the guard no longer throttles

The guard is switched off instead, and in a mode that doesn't throttle it sets all shares back.

TestSwitchedOffReleases failed before in all four cases (share 50 of 100).

--- a/agent/runner/guard.go
+++ b/agent/runner/guard.go
@@ -20,11 +20,8 @@
 		if set.Pools[i].Name != a.settings.Pool {
 			continue
 		}
-		if unguardedPolicies[set.Pools[i].Policy] {
-			return
-		}
 		opts := throttler.Defaults()
-		opts.Mode = a.settings.Guard
+		opts.Mode = guardMode(set.Pools[i].Policy, a.settings.Guard)
 		a.guard.SetOptions(opts.WithWeights(set.Pools[i].Weights))
 	}
 	targetLatencies := map[cowslipbend.ServiceID]cowslipbend.Span{}
@@ -36,6 +33,14 @@
 	}
 }
 
+// guardMode returns the mode of the guard in a pool with a placement policy.
+func guardMode(policy string, declared throttler.Mode) throttler.Mode {
+	if unguardedPolicies[policy] {
+		return throttler.Off
+	}
+	return declared
+}
+
 func workerStatus(v tasker.View) cowslipbend.MachineStatus {
 	return cowslipbend.MachineStatus{Size: v.Size, Tasks: v.Usage}
 }
--- a/throttler/guard.go
+++ b/throttler/guard.go
@@ -15,7 +15,7 @@
 	Throttle Mode = "throttle"
 	// Evict never throttles, only evicts. It serves as a baseline.
 	Evict Mode = "evict"
-	// Off does nothing.
+	// Off neither throttles nor evicts.
 	Off Mode = "off"
 )
 
@@ -147,10 +147,10 @@
 // Decide takes a status of the worker and returns the actions to carry out.
 // Objectives are the upper bounds of the tail latencies, by service.
 func (g *Guard) Decide(status cowslipbend.MachineStatus, objectives map[cowslipbend.ServiceID]cowslipbend.Span, now cowslipbend.Time) []Action {
+	v := newView(status, objectives)
 	if g.opts.Mode == Off {
-		return nil
+		return g.reconcile(v)
 	}
-	v := newView(status, objectives)
 	g.prune(v, now)
 	g.learn(v, now)
 	var out []Action
@@ -326,10 +326,12 @@
 }
 
 // reconcile returns the actions that set the shares that differ from those in
-// force on the worker.
+// force on the worker. A guard that does not throttle releases what was throttled
+// before its mode changed or its process started.
 func (g *Guard) reconcile(v *view) []Action {
 	if g.opts.Mode != Throttle {
-		return nil
+		clear(g.shares)
+		clear(v.overuseLimits)
 	}
 	var out []Action
 	for _, s := range v.batch {
--- a/throttler/guard_test.go
+++ b/throttler/guard_test.go
@@ -339,3 +339,28 @@
 		}
 	})
 }
+
+// TestSwitchedOffReleases guards against batch that stays throttled for ever once the
+// guard no longer throttles, by its own action or that of an earlier process.
+func TestSwitchedOffReleases(t *testing.T) {
+	for _, m := range []Mode{Off, Evict} {
+		t.Run("mode "+string(m), func(t *testing.T) {
+			b := newTestbed(Throttle, task("a/0", "netting", 8*cowslipbend.Core))
+			b.baseTail, b.slowdownPerCore = 38, 0.1
+			b.run(cowslipbend.Second / 2)
+			assert.Equal(t, b.sharePercents()["a/0"], 50)
+			b.baseTail = 10
+			opts := Defaults()
+			opts.Mode = m
+			b.guard.SetOptions(opts)
+			b.run(cowslipbend.Second)
+			assert.Equal(t, b.sharePercents()["a/0"], fullPercent)
+		})
+		t.Run("mode "+string(m)+" after a restart", func(t *testing.T) {
+			b := newTestbed(m, task("a/0", "netting", 8*cowslipbend.Core))
+			b.tasks[0].Percent = 50
+			b.run(cowslipbend.Second)
+			assert.Equal(t, b.sharePercents()["a/0"], fullPercent)
+		})
+	}
+}
