elector: make the conductor before the next poll

After a takeover the conductor was made in its own goroutine. A tick that was due at the same moment as the first load of the rows found no conductor and the old owner, and took over once more; the first conductor, fenced off, then cleared the second one, so that the entry owned the flows and answered no report. The conductor is now set before the loop goes on.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -144,7 +144,8 @@
 			case <-e.firstLoad: // A restarted owner takes over again without waiting for the next poll.
 			}
 			if f := e.pollOwner(ctx); f != nil {
-				g.Go(func() error { return e.runConductor(ctx, f) })
+				c := e.setConductor(f)
+				g.Go(func() error { return e.runConductor(ctx, c) })
 			}
 		}
 	})
@@ -394,13 +395,19 @@
 	return e.clock.Now().Sub(e.ownerFailedSince) >= takeoverStagger*cowslipbend.Span(rank)
 }
 
-// runConductor runs the conductor of a new epoch until that epoch is over.
-func (e *Elector) runConductor(ctx context.Context, f *conductor.Fence) error {
+// setConductor makes the conductor of a new epoch. Until that ends, this entry does not
+// take over again.
+func (e *Elector) setConductor(f *conductor.Fence) *conductor.Conductor {
 	c := e.newConductor(f)
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.conductor, e.tookOverAt, e.yielding = c, e.clock.Now(), false
 	e.recordOwner(conductor.Head{Epoch: f.Epoch(), URL: e.self.URL, Life: e.self.Life})
-	e.mu.Unlock()
+	return c
+}
+
+// runConductor runs the conductor until its epoch is over.
+func (e *Elector) runConductor(ctx context.Context, c *conductor.Conductor) error {
 	err := c.Run(ctx)
 	e.mu.Lock()
 	e.conductor, e.yielding = nil, false
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -209,3 +210,42 @@
 		waitFor(t, "the stronger entry owns the flows", func() bool { return strong.Conductor() != nil && weak.Conductor() == nil })
 	})
 }
+
+// busyClock is a clock on which the next poll of the owner is always due.
+type busyClock struct{ timer.Host }
+
+func (c busyClock) After(cowslipbend.Span) <-chan cowslipbend.Time {
+	ch := make(chan cowslipbend.Time, 1)
+	ch <- c.Now()
+	return ch
+}
+
+// TestOneTakeover guards against an entry that takes over again before the conductor
+// of its first takeover has started.
+func TestOneTakeover(t *testing.T) {
+	const slowStart = 50 * time.Millisecond
+	table := &keeper.Table{}
+	s := &store{Table: table}
+	var takeovers atomic.Int64
+	again := make(chan struct{})
+	log := hclog.NewNullLogger()
+	newConductor := func(f *conductor.Fence) *conductor.Conductor {
+		if takeovers.Add(1) == 2 {
+			close(again)
+		}
+		select {
+		case <-again:
+		case <-time.After(slowStart):
+		}
+		return conductor.New(conductor.Settings{URL: "http://127.0.0.1:1", Planner: planner.Options{MaxLease: cowslipbend.Second}}, f, s, s, caller.New(nil), func() *cowslipbend.Rules { return nil }, timer.Host{}, log)
+	}
+	self := elector.Member{ID: "a", URL: "http://127.0.0.1:1", Life: "life", Strength: 100}
+	e := elector.New(self, s, caller.New(nil), busyClock{}, log, newConductor)
+	ctx, cancel := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error { return e.Run(ctx) })
+	waitFor(t, "the entry owns the flows", func() bool { return e.Conductor() != nil })
+	cancel()
+	assert.NilError(t, g.Wait())
+	assert.Equal(t, takeovers.Load(), int64(1))
+}
