--- a/planner/bench_test.go
+++ b/planner/bench_test.go
@@ -10,15 +10,25 @@
 
 // BenchmarkDecide measures a decision at which nothing can be placed: 240 hosts
 // run serving and filling tasks, and 2,000 filling tasks of 40 flows wait. Some
-// hosts report between two decisions.
+// hosts report between two decisions. The rules have as many other queues as given.
 func BenchmarkDecide(b *testing.B) {
+	for _, queues := range []int{0, 5000} {
+		b.Run(fmt.Sprint(queues, " queues"), func(b *testing.B) { benchmarkDecide(b, queues) })
+	}
+}
+
+func benchmarkDecide(b *testing.B, queues int) {
 	const (
 		hosts, reportsPerRound       = 240, 20
 		flows, tasks                 = 40, 50
 		servingImages, fillingImages = 12, 30
 	)
 	plan := planner.New(epoch, options())
-	plan.SetRules(&cowslipbend.Rules{})
+	rules := &cowslipbend.Rules{}
+	for i := range queues {
+		rules.Queues = append(rules.Queues, cowslipbend.Queue{ID: cowslipbend.QueueID(fmt.Sprintf("r-%06d", i))})
+	}
+	plan.SetRules(rules)
 	now := cowslipbend.Time(1000)
 	var reports []*cowslipbend.HostReport
 	report := func(r *cowslipbend.HostReport) {
--- a/rules.go
+++ b/rules.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 )
 
 // Queue is a queue of flows. Callers submit flows to it by requests for the host
@@ -31,21 +32,39 @@
 	IdleTimeout   Span
 }
 
-// Rules are the operator's configuration of queues and pools.
+// Rules are the operator's configuration of queues and pools. They must not be
+// changed once they are in use, or copied.
 type Rules struct {
 	Version int64
 	Queues  []Queue
 	Pools   []HostPool
 	Limits  FrontLimits
+
+	indexing sync.Once
+	byID     map[QueueID]*Queue
+	byHost   map[string][]*Queue
+}
+
+// index fills byID and byHost.
+func (r *Rules) index() {
+	r.byID, r.byHost = make(map[QueueID]*Queue, len(r.Queues)), map[string][]*Queue{}
+	for i := range r.Queues {
+		q := &r.Queues[i]
+		if r.byID[q.ID] == nil {
+			r.byID[q.ID] = q
+		}
+		host := strings.ToLower(q.Host)
+		r.byHost[host] = append(r.byHost[host], q)
+	}
 }
 
 // Match returns the queue with the longest prefix for the host and path, or
 // nil, and the rest of the path after the prefix.
 func (r *Rules) Match(host, path string) (*Queue, string) {
+	r.indexing.Do(r.index)
 	var best *Queue
-	for i := range r.Queues {
-		q := &r.Queues[i]
-		if strings.EqualFold(q.Host, host) && strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+	for _, q := range r.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
 			best = q
 		}
 	}
@@ -57,12 +76,8 @@
 
 // Queue returns the queue with the id, or nil.
 func (r *Rules) Queue(id QueueID) *Queue {
-	for i := range r.Queues {
-		if r.Queues[i].ID == id {
-			return &r.Queues[i]
-		}
-	}
-	return nil
+	r.indexing.Do(r.index)
+	return r.byID[id]
 }
 
 // FlowService serves the callers that submit flows.
