--- a/scheduler/inbox.go
+++ b/scheduler/inbox.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"cowslipbend.dev"
@@ -111,13 +113,14 @@
 	return lease, acks
 }
 
-// beginRound returns the heartbeats for a round that begins now, and bars the
-// workers that the round may mark silent from leases.
+// beginRound returns the heartbeats for a round that begins now, in the order of
+// their workers, and bars the workers that the round may mark silent from leases.
 func (d *heartbeatInbox) beginRound(now cowslipbend.Time) []*Heartbeat {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	heartbeats := make([]*Heartbeat, 0, len(d.pending))
-	for id, b := range d.pending {
+	for _, id := range slices.Sorted(maps.Keys(d.pending)) {
+		b := d.pending[id]
 		heartbeats = append(heartbeats, b)
 		d.processedAt[id], d.sentAt[id] = now, b.SentAt
 	}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
@@ -376,7 +378,9 @@
 }
 
 func (o *Owner) queueOrders(now cowslipbend.Time) {
-	for worker, orders := range o.engine.Orders(now, o.Epoch()) {
+	byWorker := o.engine.Orders(now, o.Epoch())
+	for _, worker := range slices.Sorted(maps.Keys(byWorker)) {
+		orders := byWorker[worker]
 		orders.HeartbeatSentAt = o.inbox.heartbeatSentAt(worker)
 		o.outbox.Offer(delivery{worker, orders})
 	}
