dialer: one function closes idle connections; a failed dial keeps its error

From a reading of the change: Watched replaced the error of a dial that failed as the time ended by its own reason, so that Unsent no longer saw that nothing was sent.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -68,8 +68,11 @@
 }
 
 // CloseIdleConnections closes the idle connections of the wrapped transport.
-func (t secretTransport) CloseIdleConnections() {
-	if c, ok := t.next.(interface{ CloseIdleConnections() }); ok {
+func (t secretTransport) CloseIdleConnections() { closeIdleConnections(t.next) }
+
+// closeIdleConnections closes the idle connections of a transport that has any.
+func closeIdleConnections(rt http.RoundTripper) {
+	if c, ok := rt.(interface{ CloseIdleConnections() }); ok {
 		c.CloseIdleConnections()
 	}
 }
--- a/internal/dialer/progress.go
+++ b/internal/dialer/progress.go
@@ -28,10 +28,11 @@
 )
 
 // Watched returns a client that uses the transport of another one and cancels
-// requests that make no progress: the timeout limits the wait for the begin of the
-// reply, and each pause while a large request is sent. Unlike a limit on the whole
-// request, this does not depend on the size of the bodies and the bandwidth. A limit
-// that is too short for a large reply would end each attempt to read it.
+// requests that make no progress. The timeout limits the wait for the start of the
+// reply, and each pause while a large request is sent; maxPause and maxTransfer limit
+// the transfer of the reply. Unlike a limit on the whole request, this does not depend
+// on the size of the bodies and the bandwidth: a limit that is too short for a large
+// reply would end each attempt to read it.
 func Watched(c *http.Client, timeout cowslipbend.Span) *http.Client {
 	watched := *c
 	watched.Transport = watchedTransport{c.Transport, timeout}
@@ -63,11 +64,7 @@
 }
 
 // CloseIdleConnections closes the idle connections of the wrapped transport.
-func (t watchedTransport) CloseIdleConnections() {
-	if c, ok := t.next.(interface{ CloseIdleConnections() }); ok {
-		c.CloseIdleConnections()
-	}
-}
+func (t watchedTransport) CloseIdleConnections() { closeIdleConnections(t.next) }
 
 // watchBody makes the reading of the request's body by the transport count as
 // progress.
@@ -144,9 +141,9 @@
 }
 
 // explain returns the reason for which the context was cancelled in place of the
-// error that follows from it.
+// error that follows from it. A DialError, which proves that nothing was sent, remains.
 func (p *progress) explain(err error) error {
-	if cause := context.Cause(p.ctx); cause != nil {
+	if cause := context.Cause(p.ctx); cause != nil && !Unsent(err) {
 		return cause
 	}
 	return err
--- a/stand/soaker/soaker.go
+++ b/stand/soaker/soaker.go
@@ -130,8 +130,8 @@
 // until all faults are reverted.
 func (r *Report) inject(ctx context.Context, f *fleet) error {
 	rnd := rand.New(rand.NewPCG(uint64(f.opts.Seed), 1<<33))
-	begin := time.Now()
-	end := begin.Add(f.opts.InjectionTime.Duration())
+	startedAt := time.Now()
+	end := startedAt.Add(f.opts.InjectionTime.Duration())
 	changes := 0
 	for time.Now().Before(end) && ctx.Err() == nil {
 		if what := f.startRandomFault(ctx, rnd); what != "" {
@@ -139,7 +139,7 @@
 			f.opts.Log.Info("fault injected", "seed", f.opts.Seed, "what", what)
 		}
 		sleep(ctx, time.Duration(rnd.Int64N(int64(maxFaultGap))))
-		if time.Since(begin)*(rulesChanges+1) > f.opts.InjectionTime.Duration()*time.Duration(changes+1) {
+		if time.Since(startedAt)*(rulesChanges+1) > f.opts.InjectionTime.Duration()*time.Duration(changes+1) {
 			changes++
 			if err := f.changeRules(ctx, changes); err != nil {
 				return err
