--- a/planner/bench_test.go
+++ b/planner/bench_test.go
@@ -8,15 +8,16 @@
 	"cowslipbend.dev/planner"
 )
 
-// BenchmarkDecide measures a decision at which nothing can be placed: 240 hosts
-// run serving and filling tasks, and 2,000 filling tasks of 40 flows wait. Some
-// hosts report between two decisions. The rules have as many other queues as given.
+// BenchmarkDecide measures a decision at which nothing can be placed, with few and
+// with many queues in the rules.
 func BenchmarkDecide(b *testing.B) {
 	for _, queues := range []int{0, 5000} {
 		b.Run(fmt.Sprint(queues, " queues"), func(b *testing.B) { benchmarkDecide(b, queues) })
 	}
 }
 
+// benchmarkDecide lets 240 hosts run serving and filling tasks, while 2,000 filling
+// tasks of 40 flows wait. Some hosts report between two decisions.
 func benchmarkDecide(b *testing.B, queues int) {
 	const (
 		hosts, reportsPerRound       = 240, 20
