comments: timeouts of calls bound the wait for the answer; elector: one conductor of tests

The comments still said that the timeouts of calls between processes bound the whole call, which they no longer do since these are watched for progress. The two places of elector's tests that made a conductor share one function; their assertions are as before. No code of a program is changed.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -30,8 +30,8 @@
 	// confirmInterval is the time after which an owner without changes commits
 	// its head only, to confirm that the epoch is still its own.
 	confirmInterval = 2 * cowslipbend.Second
-	// orderTimeout bounds a call that sends orders to an agent, which itself
-	// makes one call to its runner.
+	// orderTimeout bounds the wait for an agent's answer to orders, for which the
+	// agent makes one call to its runner.
 	orderTimeout = 1500 * cowslipbend.Millisecond
 	// feedWait is how long one call of the feed waits for changes.
 	feedWait = cowslipbend.Second
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -88,6 +88,12 @@
 	kill  func()
 }
 
+// newConductor returns the conductor of an entry without flows or rules.
+func newConductor(url string, f *conductor.Fence, s *store) *conductor.Conductor {
+	settings := conductor.Settings{URL: url, Planner: planner.Options{MaxLease: cowslipbend.Second}}
+	return conductor.New(settings, f, s, s, caller.New(nil), func() *cowslipbend.Rules { return nil }, timer.Host{}, hclog.NewNullLogger())
+}
+
 func newEntry(t *testing.T, table *keeper.Table, id string) *entry {
 	t.Helper()
 	return newEntryWithStrength(t, table, id, 100)
@@ -100,10 +106,7 @@
 	caller.Handle(mux, elector.PathHealth, func(context.Context, *struct{}) (elector.Health, error) { return e.Health(), nil })
 	e.srv = httptest.NewServer(mux)
 	log := hclog.NewNullLogger()
-	newConductor := func(f *conductor.Fence) *conductor.Conductor {
-		s := conductor.Settings{URL: e.srv.URL, Planner: planner.Options{MaxLease: cowslipbend.Second}}
-		return conductor.New(s, f, e.store, e.store, caller.New(nil), func() *cowslipbend.Rules { return nil }, timer.Host{}, log)
-	}
+	newConductor := func(f *conductor.Fence) *conductor.Conductor { return newConductor(e.srv.URL, f, e.store) }
 	self := elector.Member{ID: cowslipbend.EntryID(id), URL: e.srv.URL, Life: cowslipbend.Incarnation(cowslipbend.DrawID()), Strength: strength}
 	e.Elector = elector.New(self, e.store, caller.New(nil), timer.Host{}, log, newConductor)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -228,8 +231,7 @@
 	s := &store{Table: table}
 	var takeovers atomic.Int64
 	again := make(chan struct{})
-	log := hclog.NewNullLogger()
-	newConductor := func(f *conductor.Fence) *conductor.Conductor {
+	slowConductor := func(f *conductor.Fence) *conductor.Conductor {
 		if takeovers.Add(1) == 2 {
 			close(again)
 		}
@@ -237,10 +239,10 @@
 		case <-again:
 		case <-time.After(slowStart):
 		}
-		return conductor.New(conductor.Settings{URL: "http://127.0.0.1:1", Planner: planner.Options{MaxLease: cowslipbend.Second}}, f, s, s, caller.New(nil), func() *cowslipbend.Rules { return nil }, timer.Host{}, log)
+		return newConductor("http://127.0.0.1:1", f, s)
 	}
 	self := elector.Member{ID: "a", URL: "http://127.0.0.1:1", Life: "life", Strength: 100}
-	e := elector.New(self, s, caller.New(nil), busyClock{}, log, newConductor)
+	e := elector.New(self, s, caller.New(nil), busyClock{}, hclog.NewNullLogger(), slowConductor)
 	ctx, cancel := context.WithCancel(t.Context())
 	var g errgroup.Group
 	g.Go(func() error { return e.Run(ctx) })
--- a/intaker/handover.go
+++ b/intaker/handover.go
@@ -11,7 +11,7 @@
 
 // Limits of having another entry store a flow.
 const (
-	// handOverTimeout bounds one call to another entry.
+	// handOverTimeout bounds the wait for the answer of another entry.
 	handOverTimeout = 700 * cowslipbend.Millisecond
 	// firstPeers is how many entries besides the owner are asked first.
 	firstPeers = 2
--- a/intaker/intaker.go
+++ b/intaker/intaker.go
@@ -24,8 +24,8 @@
 	pathStore     = "/flow/store"
 )
 
-// ownerTimeout bounds a call to the owner. It is short, as the owner answers from
-// memory.
+// ownerTimeout bounds the wait for an answer of the owner. It is short, as the owner
+// answers from memory.
 const ownerTimeout = 400 * cowslipbend.Millisecond
 
 // Owners finds the owner of the flows.
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -23,8 +23,8 @@
 const (
 	// reportInterval is the longest time between two reports.
 	reportInterval = 500 * cowslipbend.Millisecond
-	// reportTimeout bounds the call with a report, whose answer waits for a
-	// commit of the owner.
+	// reportTimeout bounds the wait for the answer to a report, which itself waits
+	// for a commit of the owner.
 	reportTimeout = 1500 * cowslipbend.Millisecond
 	// reportBackoff is the delay after a report that no entry accepted as the
 	// owner.
