--- a/conductor/outlier.go
+++ b/conductor/outlier.go
@@ -1,8 +1,10 @@
 package conductor
 
 import (
+	"fmt"
 	"math"
 
+	"cowslipbend.dev"
 	"cowslipbend.dev/planner"
 )
 
@@ -10,11 +12,12 @@
 type outlierEvents struct {
 	copies []planner.CopyEvent
 	grades []planner.GradeEvent
+	losses []planner.LossEvent
 }
 
 // takeOutliers returns the events since its last call.
 func (c *Conductor) takeOutliers() outlierEvents {
-	return outlierEvents{copies: c.planner.TakeCopyEvents(), grades: c.planner.TakeGradeEvents()}
+	return outlierEvents{copies: c.planner.TakeCopyEvents(), grades: c.planner.TakeGradeEvents(), losses: c.planner.TakeLossEvents()}
 }
 
 // recordOutliers logs and counts the events of a committed round.
@@ -25,6 +28,9 @@
 		c.log.Info("run stands out from its step", "flow", e.Task.Job, "task", e.Task.String(), "run", e.Run, "outcome", e.Outcome,
 			"host", e.Host, "other", e.OtherHost, "percent", e.Percent, "typical", e.Typical)
 	}
+	for i := range events.losses {
+		c.recordLoss(&events.losses[i])
+	}
 	for i := range events.grades {
 		e := &events.grades[i]
 		c.settings.Metrics.RecordSlowHost(e.Aside)
@@ -36,5 +42,23 @@
 	}
 }
 
+// recordLoss logs and counts a lost host.
+func (c *Conductor) recordLoss(e *planner.LossEvent) {
+	c.settings.Metrics.RecordLostHost(e.Cause, e.Runs)
+	c.log.Info("host lost", "host", e.Life, "agent", e.URL, "cause", e.Cause, "runs", e.Runs, "young", describeLostRuns(e.Young))
+}
+
+// maxLoggedRuns bounds the runs that a log line names.
+const maxLoggedRuns = 12
+
+// describeLostRuns formats runs for the log.
+func describeLostRuns(runs []cowslipbend.LostRun) []string {
+	list := make([]string, 0, min(len(runs), maxLoggedRuns))
+	for i := range runs[:min(len(runs), maxLoggedRuns)] {
+		list = append(list, fmt.Sprintf("%s run %d age %dms", runs[i].Task, runs[i].Run, runs[i].Age))
+	}
+	return list
+}
+
 // roundShare rounds a share for the log.
 func roundShare(share float64) float64 { return math.Round(share*100) / 100 }
--- a/host.go
+++ b/host.go
@@ -131,9 +131,12 @@
 	// LostLife is the last incarnation of the runner if that certainly runs
 	// nothing any more and no later one is known.
 	LostLife Incarnation `json:"lost,omitempty"`
-	Running  []RunState  `json:"running,omitempty"`
-	Ends     []RunEnd    `json:"ends,omitempty"`
-	Results  []RunResult `json:"results,omitempty"`
+	// Loss describes the last incarnation of the runner that the agent saw end; nil if
+	// it saw none.
+	Loss    *HostLoss   `json:"loss,omitempty"`
+	Running []RunState  `json:"running,omitempty"`
+	Ends    []RunEnd    `json:"ends,omitempty"`
+	Results []RunResult `json:"results,omitempty"`
 	// PairsVersion is the version of the estimates for pairs of images that the
 	// owner of PairsEpoch has sent to the agent.
 	PairsVersion int64 `json:"pairs,omitempty"`
--- a/instrumenter/instrumenter.go
+++ b/instrumenter/instrumenter.go
@@ -37,6 +37,8 @@
 	malformedRows     prometheus.Counter
 	outliers          *prometheus.CounterVec
 	gradedHosts       *prometheus.CounterVec
+	lostHosts         *prometheus.CounterVec
+	lostRuns          *prometheus.CounterVec
 }
 
 // durationBuckets are the bounds of the histograms in seconds. They range from the
--- a/instrumenter/outlier.go
+++ b/instrumenter/outlier.go
@@ -2,13 +2,17 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+
+	"cowslipbend.dev"
 )
 
 // registerOutliers registers the metrics of runs and hosts that stand out.
 func (i *Instrumenter) registerOutliers(reg prometheus.Registerer) {
 	i.outliers = counterVec("cowslip_run_outliers_total", "Copies and moves of runs that stand out from their step, by what became of them.", "outcome")
 	i.gradedHosts = counterVec("cowslip_slow_hosts_total", "Times that a host was set aside as slow (aside), and that it came back (back).", "change")
-	reg.MustRegister(i.outliers, i.gradedHosts)
+	i.lostHosts = counterVec("cowslip_hosts_lost_total", "Hosts that the owner counted as lost, by cause.", "cause")
+	i.lostRuns = counterVec("cowslip_runs_lost_total", "Runs that had not ended when their host was lost, by the cause of its loss.", "cause")
+	reg.MustRegister(i.outliers, i.gradedHosts, i.lostHosts, i.lostRuns)
 }
 
 // RecordOutlier counts a copy or a move of a run by its outcome.
@@ -18,6 +22,14 @@
 	}
 }
 
+// RecordLostHost counts a lost host and the runs on it.
+func (i *Instrumenter) RecordLostHost(cause cowslipbend.LossCause, runs int) {
+	if i != nil {
+		i.lostHosts.WithLabelValues(string(cause)).Inc()
+		i.lostRuns.WithLabelValues(string(cause)).Add(float64(runs))
+	}
+}
+
 // RecordSlowHost counts that a host was set aside as slow, or that it came back.
 func (i *Instrumenter) RecordSlowHost(aside bool) {
 	if i == nil {
--- /dev/null
+++ b/planner/loss.go
@@ -0,0 +1,43 @@
+package planner
+
+import (
+	"cowslipbend.dev"
+)
+
+// maxLossEvents bounds the losses that wait to be taken.
+const maxLossEvents = 1000
+
+// LossEvent tells that a host was lost, with all its runs.
+type LossEvent struct {
+	cowslipbend.HostLoss
+	// URL is that of the agent, or empty if it has not reported to this owner.
+	URL string
+	// Runs counts the runs that had not ended.
+	Runs int
+}
+
+// TakeLossEvents returns the losses since its last call.
+func (p *Planner) TakeLossEvents() []LossEvent {
+	events := p.losses
+	p.losses = nil
+	return events
+}
+
+func (p *Planner) addLossEvent(h *host, loss *cowslipbend.HostLoss) {
+	if len(p.losses) < maxLossEvents {
+		p.losses = append(p.losses, LossEvent{HostLoss: *loss, URL: h.url, Runs: len(h.runs)})
+	}
+}
+
+// loseHost removes a host of which the report shows that it runs nothing any more.
+func (p *Planner) loseHost(h *host, r *cowslipbend.HostReport) {
+	loss := r.Loss
+	if loss == nil || loss.Life != h.life {
+		loss = &cowslipbend.HostLoss{Life: h.life, Cause: cowslipbend.LossReplaced}
+	}
+	if h.spec.Draining {
+		loss = &cowslipbend.HostLoss{Life: h.life, Cause: cowslipbend.LossLeft}
+	}
+	p.addLossEvent(h, loss)
+	p.removeHost(h)
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -107,6 +107,8 @@
 	// evacuation holds what becomes of the runs there.
 	evacuation evacuation
 	ahead      ahead
+	// losses holds the losses of hosts since the last call of TakeLossEvents.
+	losses []LossEvent
 }
 
 // agent is the process beside a runner.
--- a/planner/report.go
+++ b/planner/report.go
@@ -22,13 +22,13 @@
 	a.lastReportNumber = max(a.lastReportNumber, r.Number)
 	if r.Host == nil {
 		if h := p.hosts[r.LostLife]; newer && h != nil {
-			p.removeHost(h)
+			p.loseHost(h, r)
 		}
 		return
 	}
 	if newer && (a.runnerLife != r.Host.Life || p.hosts[r.Host.Life] == nil) {
 		p.carryRuns(a, r)
-		p.replaceHost(a, r.Host.Life)
+		p.replaceHost(a, r)
 	}
 	h := p.hosts[r.Host.Life]
 	if h == nil || a.runnerLife != r.Host.Life {
@@ -100,9 +100,10 @@
 
 // replaceHost sets a new incarnation of the runner of an agent. All runs of the
 // old one have ended.
-func (p *Planner) replaceHost(a *agent, life cowslipbend.Incarnation) {
-	if old := p.hosts[a.runnerLife]; old != nil {
-		p.removeHost(old)
+func (p *Planner) replaceHost(a *agent, r *cowslipbend.HostReport) {
+	life := r.Host.Life
+	if old := p.hosts[a.runnerLife]; old != nil && old.life != life {
+		p.loseHost(old, r)
 	}
 	a.runnerLife, a.knowsRuns, p.agentsChanged = life, false, true
 	if p.hosts[life] == nil {
@@ -296,6 +297,7 @@
 func (p *Planner) ExpireLeases(now cowslipbend.Time) {
 	for _, h := range p.hosts {
 		if h.leaseEnd <= now && (len(h.runs) > 0 || now.Sub(h.lastReportAt) > p.opts.MaxPriorLease) && now.Sub(h.lastReportAt) > reportTimeout {
+			p.addLossEvent(h, &cowslipbend.HostLoss{Life: h.life, Cause: cowslipbend.LossLapsed})
 			p.removeHost(h)
 		}
 	}
--- a/report.go
+++ b/report.go
@@ -11,6 +11,9 @@
 	if r.Host != nil {
 		l.Add(r.Host.check())
 	}
+	if r.Loss != nil {
+		l.Add(r.Loss.check())
+	}
 	for i := range r.Running {
 		l.Add(r.Running[i].check("running." + strconv.Itoa(i)))
 	}
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -44,6 +44,9 @@
 	if s.host == nil || s.host.Life != life {
 		return
 	}
+	if s.contactBrokenAt == 0 {
+		s.contactBrokenAt = s.clock.Now()
+	}
 	if s.unreachableRenewals++; kind != cowslipbend.KindMissing {
 		s.unreachableRenewals = 0
 	}
@@ -51,9 +54,12 @@
 	if s.unreachableRenewals < maxUnreachableRenewals && !leaseLapsed {
 		return
 	}
-	s.log.Warn("runner lost", "life", life, "lapsed", leaseLapsed)
+	cause := cowslipbend.LossCrashed
+	if leaseLapsed {
+		cause = cowslipbend.LossLapsed
+	}
+	s.recordLoss(cause)
 	s.host, s.lostLife = nil, life
-	s.settings.Metrics.RecordLostRunner()
 	s.triggerReport()
 }
 
@@ -105,7 +111,7 @@
 	}
 	s.listedRenewal = renewal
 	s.clockOffset, s.clockSynced = list.Clock.Sub(s.clock.Now()), true
-	s.lastContact, s.unreachableRenewals = s.clock.Now(), 0
+	s.lastContact, s.unreachableRenewals, s.contactBrokenAt = s.clock.Now(), 0, 0
 	s.fence = max(s.fence, epoch)
 	s.running = s.withStarted(list, renewal)
 	s.recordEnds(list.Ends)
--- /dev/null
+++ b/supervisor/loss.go
@@ -0,0 +1,41 @@
+package supervisor
+
+import (
+	"cmp"
+	"slices"
+
+	"cowslipbend.dev"
+)
+
+// maxYoungRuns bounds the runs of a loss that a report names.
+const maxYoungRuns = 200
+
+// recordLoss records that the current incarnation of the runner runs nothing any
+// more. The caller holds the lock.
+func (s *Supervisor) recordLoss(cause cowslipbend.LossCause) {
+	if s.host.Draining {
+		cause = cowslipbend.LossLeft
+	}
+	brokenAt := s.contactBrokenAt
+	if brokenAt == 0 {
+		brokenAt = s.clock.Now()
+	}
+	loss := &cowslipbend.HostLoss{Life: s.host.Life, Cause: cause}
+	for ref, r := range s.runs {
+		if r.startSentAt == 0 {
+			continue // An earlier process of the agent has started it.
+		}
+		if age := max(brokenAt.Sub(r.startSentAt), 0); age <= cowslipbend.YoungRunAge {
+			loss.Young = append(loss.Young, cowslipbend.LostRun{RunRef: ref, Age: age})
+		}
+	}
+	slices.SortFunc(loss.Young, func(a, b cowslipbend.LostRun) int { return cmp.Compare(a.Age, b.Age) })
+	loss.Young = loss.Young[:min(len(loss.Young), maxYoungRuns)]
+	s.loss = loss
+	s.settings.Metrics.RecordLostRunner()
+	fields := []any{"life", loss.Life, "cause", cause, "runs", len(s.running), "young", len(loss.Young), "noticed", s.clock.Now().Sub(brokenAt)}
+	if len(loss.Young) > 0 {
+		fields = append(fields, "youngest", loss.Young[0].Task.String(), "age", loss.Young[0].Age)
+	}
+	s.log.Warn("runner lost", fields...)
+}
--- /dev/null
+++ b/supervisor/loss_test.go
@@ -0,0 +1,78 @@
+package supervisor_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cowslipbend.dev"
+)
+
+// assertLoss waits for the report of a loss and checks its cause and its young runs.
+func assertLoss(t *testing.T, f *fixture, cause cowslipbend.LossCause, young ...int) {
+	t.Helper()
+	f.waitFor(func() bool { return f.owner.lastReport().Loss != nil })
+	loss := f.owner.lastReport().Loss
+	assert.Equal(t, loss.Life, life)
+	assert.Equal(t, loss.Cause, cause)
+	assert.Equal(t, len(loss.Young), len(young), "%+v", loss.Young)
+	for i := range young {
+		assert.Equal(t, loss.Young[i].RunRef, newStart(young[i]).RunRef)
+	}
+}
+
+func (f *fixture) startRun(index int) {
+	f.t.Helper()
+	f.sendOrders(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{newStart(index)}})
+}
+
+// These tests guard against an owner that cannot tell which runs may have crashed a
+// runner.
+func TestLoss(t *testing.T) {
+	t.Run("a crash names the runs that had just been started, the youngest first", func(t *testing.T) {
+		f := newFixture(t)
+		f.connectRunner()
+		f.startRun(1)
+		f.clock.Advance(cowslipbend.YoungRunAge + 1)
+		f.startRun(2)
+		f.clock.Advance(300)
+		f.startRun(3)
+		f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "") })
+		assertLoss(t, f, cowslipbend.LossCrashed, 3, 2)
+	})
+	t.Run("a start without an answer is named too", func(t *testing.T) {
+		f := newFixture(t)
+		f.connectRunner()
+		f.runner.withLock(func(r *runner) {
+			r.startErr = cowslipbend.Fail(cowslipbend.KindUnknown, "reset", "")
+			r.stopErr = r.startErr
+			r.renewErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "")
+		})
+		f.startRun(1)
+		assertLoss(t, f, cowslipbend.LossCrashed, 1)
+	})
+	t.Run("a runner that comes back before it is missed has crashed", func(t *testing.T) {
+		f := newFixture(t)
+		f.connectRunner()
+		f.startRun(1)
+		f.runner.withLock(func(r *runner) { r.life = "r@2" })
+		f.supervisor.Heartbeat(cowslipbend.RunnerHeartbeat{Host: cowslipbend.HostSpec{Life: "r@2", Runner: "r", Service: "ledger"}, Sequence: 1, Clock: f.clock.Now()})
+		assertLoss(t, f, cowslipbend.LossCrashed, 1)
+	})
+	t.Run("a runner that had announced its end has left", func(t *testing.T) {
+		f := newFixture(t)
+		f.connectRunner()
+		f.startRun(1)
+		f.supervisor.Leave("r")
+		f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "") })
+		assertLoss(t, f, cowslipbend.LossLeft, 1)
+	})
+	t.Run("a runner that is only silent has not crashed", func(t *testing.T) {
+		f := newFixture(t)
+		f.connectRunner()
+		f.startRun(1)
+		f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "") })
+		f.waitFor(func() bool { return f.owner.lastReport().Loss != nil })
+		assert.Equal(t, f.owner.lastReport().Loss.Cause, cowslipbend.LossLapsed)
+	})
+}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -149,6 +149,7 @@
 	s.mu.Lock()
 	until, refusal := s.runnerDeadline(min(s.leaseEnd, s.clock.Now().Add(startTimeout))), s.startRefusal()
 	s.addRun(order)
+	s.runs[order.RunRef].startSentAt = s.clock.Now()
 	s.mu.Unlock()
 	result := &cowslipbend.RunResult{RunRef: order.RunRef}
 	if until == 0 && refusal == "" {
--- a/supervisor/report.go
+++ b/supervisor/report.go
@@ -13,7 +13,7 @@
 	r := cowslipbend.HostReport{
 		Agent: s.settings.Life, URL: s.settings.URL, Number: s.reportNumber, Fence: s.fence, Running: s.running, Ends: s.unackedEnds,
 		ListAge:      s.clock.Now().Sub(s.lastContact),
-		PairsVersion: s.pairsVersion, PairsEpoch: s.pairsEpoch, LostLife: s.lostLife, EntriesHash: cowslipbend.HashStrings(s.entryURLs),
+		PairsVersion: s.pairsVersion, PairsEpoch: s.pairsEpoch, LostLife: s.lostLife, Loss: s.loss, EntriesHash: cowslipbend.HashStrings(s.entryURLs),
 	}
 	if s.host != nil && s.clockSynced {
 		spec := *s.host
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -89,6 +89,8 @@
 	// list and earlier ones may lack the run.
 	started        bool
 	renewalAtStart int64
+	// startSentAt is when this process sent the start; zero if it did not.
+	startSentAt cowslipbend.Time
 	// pace is the last pace that the runner has confirmed, in per cent.
 	pace int
 }
@@ -129,7 +131,12 @@
 	// listened.
 	lastContact         cowslipbend.Time
 	unreachableRenewals int
-	epoch               cowslipbend.Epoch
+	// contactBrokenAt is when the first renewal since lastContact failed; zero if none
+	// has.
+	contactBrokenAt cowslipbend.Time
+	// loss describes the last incarnation that was seen to end; nil if none was.
+	loss  *cowslipbend.HostLoss
+	epoch cowslipbend.Epoch
 	// fence is the epoch that the runner enforces.
 	fence        cowslipbend.Epoch
 	ownerURL     string
@@ -240,10 +247,13 @@
 
 // trackLife resets the state for a new incarnation of the runner.
 func (s *Supervisor) trackLife(b cowslipbend.RunnerHeartbeat) {
+	if s.host != nil {
+		s.recordLoss(cowslipbend.LossCrashed)
+	}
 	s.log.Info("runner discovered", "life", b.Host.Life, "service", b.Host.Service, "cpu", b.Host.Size.CPU, "mem", b.Host.Size.Mem)
 	s.host, s.heartbeatSequence, s.lostLife, s.runnerLeaseEnd = &b.Host, b.Sequence, "", 0
 	s.heartbeatAt = s.clock.Now()
-	s.lastContact, s.unreachableRenewals = s.clock.Now(), 0
+	s.lastContact, s.unreachableRenewals, s.contactBrokenAt = s.clock.Now(), 0, 0
 	s.clockSynced, s.fence, s.ackedThrough, s.answeringLife = false, 0, 0, ""
 	s.running, s.unackedEnds, s.unreportedResults = nil, nil, nil
 	s.listedRenewal = s.renewals
