planner, isolator: a task that crashes its hosts is tried apart and given up

Callers saw: a flow with a task that crashes the runner that starts it took one host after another out of service, up to 43 times, with all runs there.

Cause: a run that ends with its host counted like a lapsed lease. The task was queued again without any memory of the crash, and the tasks lost together were sent out again together, so that no crash told which of them had caused it.

Evidence: 'host lost' shows the task among the youngest runs, 9 to 35 ms old, of every host that it took; starts went on while the owner stayed.

The fix: package isolator attributes a crash to the youngest runs if these had just been started, by flow. A suspected task is tried on a host that takes no starts of other flows shortly before and until it is cleared by a run that works longer than the last one lived. The records are stored with the tasks, so that a new owner goes on with them. Hosts that leave or cannot be reached count nothing.

Why it works: with no other flow's start near it, the crash of a trial can only be due to the tried flow, and a harmless task is cleared within a second.

--- a/conductor/outlier.go
+++ b/conductor/outlier.go
@@ -13,11 +13,12 @@
 	copies []planner.CopyEvent
 	grades []planner.GradeEvent
 	losses []planner.LossEvent
+	trials []planner.TrialEvent
 }
 
 // takeOutliers returns the events since its last call.
 func (c *Conductor) takeOutliers() outlierEvents {
-	return outlierEvents{copies: c.planner.TakeCopyEvents(), grades: c.planner.TakeGradeEvents(), losses: c.planner.TakeLossEvents()}
+	return outlierEvents{copies: c.planner.TakeCopyEvents(), grades: c.planner.TakeGradeEvents(), losses: c.planner.TakeLossEvents(), trials: c.planner.TakeTrialEvents()}
 }
 
 // recordOutliers logs and counts the events of a committed round.
@@ -31,6 +32,9 @@
 	for i := range events.losses {
 		c.recordLoss(&events.losses[i])
 	}
+	for i := range events.trials {
+		c.recordTrial(&events.trials[i])
+	}
 	for i := range events.grades {
 		e := &events.grades[i]
 		c.settings.Metrics.RecordSlowHost(e.Aside)
@@ -48,6 +52,13 @@
 	c.log.Info("host lost", "host", e.Life, "agent", e.URL, "cause", e.Cause, "runs", e.Runs, "young", describeLostRuns(e.Young))
 }
 
+// recordTrial logs and counts that a task may crash hosts, or what became of it.
+func (c *Conductor) recordTrial(e *planner.TrialEvent) {
+	c.settings.Metrics.RecordTrial(string(e.Outcome))
+	c.log.Info("task "+string(e.Outcome), "flow", e.Task.Job, "task", e.Task.String(), "run", e.Run, "host", e.Host,
+		"crashes", e.Record.Crashes, "blamed", e.Record.Blamed, "age", e.Record.Age, "others", e.OtherCauses)
+}
+
 // maxLoggedRuns bounds the runs that a log line names.
 const maxLoggedRuns = 12
 
--- a/instrumenter/instrumenter.go
+++ b/instrumenter/instrumenter.go
@@ -39,6 +39,7 @@
 	gradedHosts       *prometheus.CounterVec
 	lostHosts         *prometheus.CounterVec
 	lostRuns          *prometheus.CounterVec
+	trials            *prometheus.CounterVec
 }
 
 // durationBuckets are the bounds of the histograms in seconds. They range from the
--- a/instrumenter/outlier.go
+++ b/instrumenter/outlier.go
@@ -12,7 +12,8 @@
 	i.gradedHosts = counterVec("cowslip_slow_hosts_total", "Times that a host was set aside as slow (aside), and that it came back (back).", "change")
 	i.lostHosts = counterVec("cowslip_hosts_lost_total", "Hosts that the owner counted as lost, by cause.", "cause")
 	i.lostRuns = counterVec("cowslip_runs_lost_total", "Runs that had not ended when their host was lost, by the cause of its loss.", "cause")
-	reg.MustRegister(i.outliers, i.gradedHosts, i.lostHosts, i.lostRuns)
+	i.trials = counterVec("cowslip_crash_suspects_total", "Tasks suspected to crash hosts, and what became of them.", "outcome")
+	reg.MustRegister(i.outliers, i.gradedHosts, i.trials, i.lostHosts, i.lostRuns)
 }
 
 // RecordOutlier counts a copy or a move of a run by its outcome.
@@ -30,6 +31,13 @@
 	}
 }
 
+// RecordTrial counts a task that is suspected to crash hosts, or what became of it.
+func (i *Instrumenter) RecordTrial(outcome string) {
+	if i != nil {
+		i.trials.WithLabelValues(outcome).Inc()
+	}
+}
+
 // RecordSlowHost counts that a host was set aside as slow, or that it came back.
 func (i *Instrumenter) RecordSlowHost(aside bool) {
 	if i == nil {
--- /dev/null
+++ b/isolator/isolator.go
@@ -0,0 +1,130 @@
+package isolator
+
+import (
+	"cowslipbend.dev"
+)
+
+const (
+	// promptAge is the age of the youngest run up to which a crash is attributed to
+	// a start.
+	promptAge = 250 * cowslipbend.Millisecond
+	// ageTolerance is the difference of ages below which it is not known which of
+	// two runs began later: starts are sent at the same time and overtake each other.
+	ageTolerance = 50 * cowslipbend.Millisecond
+	// minTrial is the shortest time for which a suspected task has to run to be
+	// cleared.
+	minTrial = 300 * cowslipbend.Millisecond
+	// suspectCrashes is the number of crashes from which a task is suspected
+	// although each of them had younger runs, or none of its age.
+	suspectCrashes = 2
+	// giveUpBlamed is the number of crashes without any other suspected flow on the
+	// host from which a task is given up.
+	giveUpBlamed = 2
+	// carefulBlamed and carefulCrashes take its place while hosts also crash for
+	// other causes: that many without another flow, or giveUpBlamed of at least that
+	// many in all.
+	carefulBlamed  = 3
+	carefulCrashes = 4
+	// giveUpNamed is the number of crashes as one of the possible causes from which a
+	// task is given up although other flows could always be the cause too. A task
+	// that crashes its hosts may be started twice more after three crashes.
+	giveUpNamed = 4
+)
+
+// Record is what is known of the crashes of hosts under one task since a run of it
+// last proved to be harmless. The zero value is that of a task without any.
+type Record struct {
+	// Crashes counts the hosts that crashed under a young run of the task.
+	Crashes int `json:"n,omitempty"`
+	// Named counts those of them that it may have caused, Blamed those that no run of
+	// another flow can have caused.
+	Named  int `json:"c,omitempty"`
+	Blamed int `json:"b,omitempty"`
+	// Age is the age of its run at the last of these crashes.
+	Age cowslipbend.Span `json:"a,omitempty"`
+	// Suspect is set while the task is to be tried apart from other flows.
+	Suspect bool `json:"s,omitempty"`
+}
+
+// IsValid reports whether the counts are possible.
+func (r *Record) IsValid() bool {
+	return r.Blamed >= 0 && r.Blamed <= r.Named && r.Named <= r.Crashes && r.Age >= 0
+}
+
+// Trial returns how long a run of the task has to work to prove to be harmless: longer
+// than its last one lived until the crash.
+func (r *Record) Trial() cowslipbend.Span {
+	return min(2*r.Age, cowslipbend.YoungRunAge) + minTrial
+}
+
+// IsLost reports whether the task is to be given up. The flag is set while hosts also
+// crash for other causes.
+func (r *Record) IsLost(otherCauses bool) bool {
+	switch {
+	case r.Named >= giveUpNamed, r.Blamed >= carefulBlamed:
+		return true
+	case otherCauses:
+		return r.Blamed >= giveUpBlamed && r.Crashes >= carefulCrashes
+	}
+	return r.Blamed >= giveUpBlamed
+}
+
+// Run is a young run on a host that has crashed.
+type Run struct {
+	Flow   cowslipbend.JobID
+	Age    cowslipbend.Span
+	Record *Record
+}
+
+// Attribute updates the records of the young runs of a host that has crashed, and
+// reports whether any of them may be the cause. The tasks of one flow need not be told
+// apart, as any of them ends the flow.
+func Attribute(runs []Run) bool {
+	causes := findCauses(runs)
+	flows := map[cowslipbend.JobID]bool{}
+	suspected := true
+	for i := range runs {
+		if causes[i] {
+			flows[runs[i].Flow] = true
+			suspected = suspected && runs[i].Record.Suspect
+		}
+	}
+	expected := len(flows) == 1 && suspected
+	for i := range runs {
+		record := runs[i].Record
+		switch {
+		case causes[i]:
+			record.Crashes++
+			record.Named++
+			record.Suspect = true
+			if len(flows) == 1 {
+				record.Blamed++
+			}
+		case expected:
+			continue
+		default:
+			record.Crashes++
+			record.Suspect = record.Suspect || record.Crashes >= suspectCrashes
+		}
+		record.Age = runs[i].Age
+	}
+	return len(flows) > 0
+}
+
+// findCauses tells for each run whether it may be the cause: the youngest ones if they
+// are young enough, otherwise those of suspected tasks.
+func findCauses(runs []Run) []bool {
+	youngest := cowslipbend.YoungRunAge
+	for i := range runs {
+		youngest = min(youngest, runs[i].Age)
+	}
+	causes := make([]bool, len(runs))
+	for i := range runs {
+		if youngest <= promptAge {
+			causes[i] = runs[i].Age <= youngest+ageTolerance
+		} else {
+			causes[i] = runs[i].Record.Suspect
+		}
+	}
+	return causes
+}
--- a/planner/carry.go
+++ b/planner/carry.go
@@ -32,9 +32,13 @@
 	if p.hosts[life] == nil {
 		p.hosts[life] = newHost(life)
 	}
+	tried := pl.tried
 	old.removeRun(ref)
 	carried := p.hosts[life].addRun(ref, pl.def)
 	carried.orderedAt, carried.confirmed, carried.inherited, carried.moving = pl.orderedAt, pl.confirmed, pl.inherited, pl.moving
+	if tried {
+		p.hosts[life].beginTrial(ref.Task.Job, carried)
+	}
 	f := p.flows[ref.Task.Job]
 	if f == nil {
 		return
--- a/planner/check.go
+++ b/planner/check.go
@@ -34,7 +34,8 @@
 
 // isOf reports whether the flow has such a task.
 func (t *RowTask) isOf(def *cowslipbend.Flow) bool {
-	return t.Step >= 0 && t.Step < len(def.Steps) && t.Index >= 0 && t.Index < def.Steps[t.Step].Count && t.Run >= 0 && t.Failures >= 0
+	return t.Step >= 0 && t.Step < len(def.Steps) && t.Index >= 0 && t.Index < def.Steps[t.Step].Count && t.Run >= 0 && t.Failures >= 0 &&
+		(t.Crashes == nil || t.Crashes.IsValid())
 }
 
 func brokenRow(def *cowslipbend.Flow, what string) error {
--- a/planner/copy.go
+++ b/planner/copy.go
@@ -204,9 +204,9 @@
 }
 
 // mayCopy reports whether the task may have a further run: one more failure must
-// not end its flow, and its runs are bounded.
+// not end its flow, its runs are bounded, and it is not tried apart from others.
 func (t *task) mayCopy(maxAttempts int) bool {
-	return (maxAttempts == 0 || t.failures+1 < maxAttempts) && int(t.run)-t.failures < maxExtraRuns
+	return !t.crashes.Suspect && (maxAttempts == 0 || t.failures+1 < maxAttempts) && int(t.run)-t.failures < maxExtraRuns
 }
 
 // outlier is a run that stands out from its step.
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/planner"
 )
 
 // Times of a crash as hosts show them.
@@ -32,6 +33,11 @@
 	// specs holds the hosts as they come back.
 	specs map[string]cowslipbend.HostSpec
 	lives int
+	// planned hosts announce their end, unreachable ones are missed only when their
+	// lease has lapsed.
+	planned, unreachable bool
+	// rows holds the committed progress.
+	rows map[cowslipbend.JobID][]byte
 	// started counts the starts of each task, crashCount the crashes.
 	started    map[cowslipbend.TaskRef]int
 	crashCount int
@@ -41,6 +47,7 @@
 	c := &crashes{
 		race:        newRace(t, hosts, func(string, cowslipbend.RunRef) cowslipbend.Span { return cowslipbend.Second }),
 		crashesHost: crashesHost, lost: map[string]cowslipbend.Time{}, specs: map[string]cowslipbend.HostSpec{}, started: map[cowslipbend.TaskRef]int{},
+		rows: map[cowslipbend.JobID][]byte{},
 	}
 	for _, name := range c.names() {
 		c.specs[name] = *c.reports[name].Host
@@ -56,7 +63,7 @@
 		for _, name := range c.names() {
 			c.work(name)
 		}
-		for name, o := range c.decide() {
+		for name, o := range c.commit() {
 			if o.Life == c.specs[name].Life && c.lost[name] == 0 {
 				c.execute(map[string]cowslipbend.HostOrders{name: o})
 				for i := range o.Starts {
@@ -69,6 +76,22 @@
 	}
 }
 
+// commit returns the orders of one decision, whose progress it keeps.
+func (c *crashes) commit() map[string]cowslipbend.HostOrders {
+	c.t.Helper()
+	orders := map[string]cowslipbend.HostOrders{}
+	for _, a := range c.plan.Decide(c.now, c.now, c.now) {
+		orders[a.URL] = a.Orders
+	}
+	for _, id := range c.plan.DirtyFlows() {
+		row, err := c.plan.TakeProgress(id)
+		assert.NilError(c.t, err)
+		c.rows[id] = row
+	}
+	c.plan.MarkCommitted(c.now)
+	return orders
+}
+
 // work lets one host work, crash, be missed or come back.
 func (c *crashes) work(name string) {
 	if at := c.lost[name]; at > 0 {
@@ -93,6 +116,12 @@
 func (c *crashes) crash(name string) {
 	r := c.reports[name]
 	loss := &cowslipbend.HostLoss{Life: r.Host.Life, Cause: cowslipbend.LossCrashed}
+	switch {
+	case c.planned:
+		loss.Cause = cowslipbend.LossLeft
+	case c.unreachable:
+		loss.Cause = cowslipbend.LossLapsed
+	}
 	for i := range r.Running {
 		ref := r.Running[i].RunRef
 		if age := c.now.Sub(c.startedAt[ref]); age <= cowslipbend.YoungRunAge {
@@ -105,6 +134,21 @@
 	c.crashCount++
 }
 
+// crashNewest crashes the host on which a run was started last.
+func (c *crashes) crashNewest() {
+	newest, at := "", cowslipbend.Time(0)
+	for _, name := range c.names() {
+		for _, s := range c.reports[name].Running {
+			if started := c.startedAt[s.RunRef]; started > at {
+				newest, at = name, started
+			}
+		}
+	}
+	if newest != "" {
+		c.crash(newest)
+	}
+}
+
 // restart brings a crashed host back.
 func (c *crashes) restart(name string) {
 	c.lives++
@@ -141,19 +185,143 @@
 	}
 }
 
-// It guards against a task that crashes one host after another.
-func TestTaskThatCrashesHostsIsGivenUp(t *testing.T) {
-	bad := []cowslipbend.JobID{"f3", "f7", "f12"}
-	c := newCrashes(t, 10, firstOf(bad...))
-	c.submit(20)
-	c.run(20 * cowslipbend.Second)
-	c.assertStarts(bad...)
-	for i := range 20 {
+// assertStates checks that the bad flows have failed and all others are done.
+func (c *crashes) assertStates(count int, bad ...cowslipbend.JobID) {
+	c.t.Helper()
+	for i := range count {
 		id := cowslipbend.JobID(fmt.Sprint("f", i))
 		want := cowslipbend.FlowDone
 		if slices.Contains(bad, id) {
 			want = cowslipbend.FlowFailed
 		}
-		assertState(t, c.pool, string(id), want)
+		assertState(c.t.(*testing.T), c.pool, string(id), want)
+	}
+}
+
+// changeOwner starts a new owner from the stored progress.
+func (c *crashes) changeOwner(count int) {
+	c.t.Helper()
+	c.plan = planner.New(epoch, options())
+	c.plan.SetRules(&cowslipbend.Rules{})
+	for i := range count {
+		f := flow(fmt.Sprint("f", i), step(4, 1))
+		if row := c.rows[f.ID]; row != nil {
+			assert.NilError(c.t, c.plan.Restore(f, row, c.now))
+		} else {
+			c.plan.Submit(f)
+		}
+	}
+	var agents []planner.AgentRow
+	for _, name := range c.names() {
+		agents = append(agents, planner.AgentRow{URL: name, RunnerLife: c.specs[name].Life})
+	}
+	c.plan.ExpectAgents(agents, c.now)
+}
+
+// It guards against a task that crashes one host after another.
+func TestTaskThatCrashesHostsIsGivenUp(t *testing.T) {
+	bad := []cowslipbend.JobID{"f3", "f7", "f12"}
+	for _, age := range []cowslipbend.Span{0, 100, 600} {
+		t.Run(fmt.Sprintf("%d ms after its start", age), func(t *testing.T) {
+			c := newCrashes(t, 10, firstOf(bad...))
+			c.crashAge = age
+			c.submit(20)
+			c.run(20 * cowslipbend.Second)
+			c.assertStarts(bad...)
+			c.assertStates(20, bad...)
+		})
+	}
+	t.Run("though the owner changes after each crash", func(t *testing.T) {
+		c := newCrashes(t, 10, firstOf("f1"))
+		c.submit(4)
+		for seen := 0; c.now < 30000; c.run(raceTick) {
+			if c.crashCount > seen {
+				seen = c.crashCount
+				c.changeOwner(4)
+			}
+		}
+		c.assertStarts("f1")
+		c.assertStates(4, "f1")
+	})
+	t.Run("and stops no other flow", func(t *testing.T) {
+		c := newCrashes(t, 10, firstOf("f3"))
+		c.submit(20)
+		c.run(3 * cowslipbend.Second)
+		assert.Assert(t, c.crashCount <= 3, "%d crashes", c.crashCount)
+	})
+}
+
+// It guards against a sound task that is given up as its hosts crash for other causes.
+func TestSoundTaskIsNotGivenUp(t *testing.T) {
+	for _, every := range []cowslipbend.Span{500, 1000, 2000} {
+		t.Run(fmt.Sprintf("a host crashes each %d ms", every), func(t *testing.T) {
+			c := newCrashes(t, 10, func(cowslipbend.RunRef) bool { return false })
+			for i := range 40 {
+				c.plan.Submit(flow(fmt.Sprint("f", i), step(4, 1)))
+				c.run(2 * raceTick)
+				if c.now%cowslipbend.Time(every) == 0 {
+					c.crashNewest()
+				}
+			}
+			c.run(30 * cowslipbend.Second)
+			c.assertStates(40)
+		})
+	}
+	t.Run("its hosts leave", func(t *testing.T) {
+		c := newCrashes(t, 4, firstOf("f0"))
+		c.planned = true
+		c.submit(1)
+		c.run(10 * cowslipbend.Second)
+		assert.Assert(t, c.started[cowslipbend.TaskRef{Job: "f0"}] > maxCrashStarts)
+		assertState(t, c.pool, "f0", cowslipbend.FlowRunning)
+	})
+	t.Run("its hosts cannot be reached", func(t *testing.T) {
+		c := newCrashes(t, 4, firstOf("f0"))
+		c.unreachable = true
+		c.submit(1)
+		c.run(10 * cowslipbend.Second)
+		assert.Assert(t, c.started[cowslipbend.TaskRef{Job: "f0"}] > maxCrashStarts)
+		assertState(t, c.pool, "f0", cowslipbend.FlowRunning)
+	})
+}
+
+// assertApart checks that the second runs of the flows were started on a host at other
+// times than runs of other flows.
+func (c *crashes) assertApart(name string, flows ...cowslipbend.JobID) {
+	c.t.Helper()
+	for _, tried := range c.reports[name].Running {
+		if tried.Run < 2 || !slices.Contains(flows, tried.Task.Job) {
+			continue
+		}
+		for _, other := range c.reports[name].Running {
+			apart := c.startedAt[tried.RunRef].Sub(c.startedAt[other.RunRef])
+			assert.Assert(c.t, other.Task.Job == tried.Task.Job || max(apart, -apart) >= 100, "%v is tried beside %v on %s", tried.Task, other.Task, name)
+		}
+	}
+}
+
+// It guards against suspected tasks that are tried together, or beside new starts, so
+// that their crash tells nothing.
+func TestTrial(t *testing.T) {
+	c := newCrashes(t, 6, func(cowslipbend.RunRef) bool { return false })
+	c.plan.Submit(flow("f0", step(1, 1)))
+	c.plan.Submit(flow("f1", step(1, 1)))
+	c.plan.Submit(flow("f2", step(1, 1)))
+	c.run(2 * raceTick)
+	for _, name := range c.names() {
+		if len(c.reports[name].Running) > 0 {
+			c.crash(name)
+		}
 	}
+	for i := 3; i < 40; i++ {
+		small := step(12, 1)
+		small.Size = cowslipbend.Resources{CPU: 200, Mem: cowslipbend.MB}
+		c.plan.Submit(flow(fmt.Sprint("f", i), small))
+		c.run(raceTick)
+		for _, name := range c.names() {
+			c.assertApart(name, "f0", "f1", "f2")
+		}
+	}
+	c.run(20 * cowslipbend.Second)
+	c.assertStates(40)
 }
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -37,6 +37,7 @@
 	}
 	p.sortByRank(ready, storeNow)
 	p.limitColdStarts(now)
+	p.releaseHolds(now)
 	hosts := p.usableHosts(now)
 	p.evacuate(hosts, now)
 	p.leaveDomains(hosts, now)
@@ -180,9 +181,14 @@
 	t.phase, t.run, t.host, t.placedAt = phasePlaced, run, h.life, now
 	s.waitingCount--
 	h.countStart(1)
+	h.trial.recordStart(f.def.ID, now)
 	ref := cowslipbend.RunRef{Task: f.def.Ref(r.number, s.index, index), Run: run}
 	p.recordAheadStart(f, s, keyOf(ref.Task), h, now)
-	p.uncommitted = append(p.uncommitted, h.addRun(ref, s.def))
+	pl := h.addRun(ref, s.def)
+	if t.crashes.Suspect {
+		h.beginTrial(f.def.ID, pl)
+	}
+	p.uncommitted = append(p.uncommitted, pl)
 	p.recordGiven(f, s)
 	h.grade.recordStart(now)
 	o := p.ordersFor(h)
--- a/planner/delay.go
+++ b/planner/delay.go
@@ -29,6 +29,9 @@
 	DelaySpread DelayReason = "spread"
 	// DelaySlow means that the host is set aside as slow.
 	DelaySlow DelayReason = "slow"
+	// DelayTrial means that the host runs a task of another flow that may have
+	// crashed a host.
+	DelayTrial DelayReason = "trial"
 	// DelayRoom means that the reservation does not fit.
 	DelayRoom DelayReason = "room"
 	// DelayCold means that the host is slow after a start and takes few tasks.
--- a/planner/flow.go
+++ b/planner/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"cowslipbend.dev"
+	"cowslipbend.dev/isolator"
 )
 
 // phase is the state of a task.
@@ -30,6 +31,8 @@
 	other otherRun
 	// moved is set once a run was stopped as it stood out.
 	moved bool
+	// crashes is what is known of the hosts that crashed under its runs.
+	crashes isolator.Record
 }
 
 // requeue returns the task to the waiting ones. An empty checkpoint keeps the
--- a/planner/host.go
+++ b/planner/host.go
@@ -25,6 +25,10 @@
 	orderedAt cowslipbend.Time
 	// confirmed is set once the host has reported that the run has started.
 	confirmed bool
+	// confirmedAt is when this owner first heard of the start; zero before.
+	confirmedAt cowslipbend.Time
+	// tried is set while the run keeps runs of other flows from the host.
+	tried bool
 	// stopOrderedAt is when the stop was last ordered. missingSince is when the
 	// run was first missing from the lists of the host; zero if it is listed.
 	stopOrderedAt cowslipbend.Time
@@ -119,6 +123,7 @@
 	imageDemands  map[string]cowslipbend.Millicores
 	// reservation keeps room for a large task that waits, if any.
 	reservation *reserver.Reservation
+	trial       hostTrial
 }
 
 func newHost(life cowslipbend.Incarnation) *host {
@@ -148,6 +153,7 @@
 func (h *host) removeRun(ref cowslipbend.RunRef) {
 	if pl := h.runs[ref]; pl != nil {
 		delete(h.runs, ref)
+		h.endTrial(pl)
 		h.adjust(ref, pl.def, -1)
 		h.addDemand(pl.def, -pl.demand)
 	}
--- a/planner/loss.go
+++ b/planner/loss.go
@@ -30,7 +30,7 @@
 }
 
 // loseHost removes a host of which the report shows that it runs nothing any more.
-func (p *Planner) loseHost(h *host, r *cowslipbend.HostReport) {
+func (p *Planner) loseHost(h *host, r *cowslipbend.HostReport, now cowslipbend.Time) {
 	loss := r.Loss
 	if loss == nil || loss.Life != h.life {
 		loss = &cowslipbend.HostLoss{Life: h.life, Cause: cowslipbend.LossReplaced}
@@ -39,5 +39,14 @@
 		loss = &cowslipbend.HostLoss{Life: h.life, Cause: cowslipbend.LossLeft}
 	}
 	p.addLossEvent(h, loss)
+	var lost []crashedRun
+	if loss.Cause == cowslipbend.LossCrashed {
+		lost = p.recordCrash(h, loss, now)
+	}
 	p.removeHost(h)
+	for _, c := range lost {
+		if c.flow.finalState == "" {
+			p.finish(c.flow, cowslipbend.FlowFailed)
+		}
+	}
 }
--- a/planner/place.go
+++ b/planner/place.go
@@ -90,7 +90,10 @@
 		if s.tasks[i].phase != phaseWaiting {
 			continue
 		}
-		h := p.chooseHost(hosts, s.def, key, rack, limits.minRate)
+		h := p.chooseTaskHost(f, &s.tasks[i], hosts, s.def, key, rack, limits.minRate)
+		if h == nil && s.tasks[i].crashes.Suspect {
+			continue // Other tasks of the step may have more hosts.
+		}
 		if h == nil {
 			return
 		}
@@ -104,6 +107,14 @@
 	}
 }
 
+// chooseTaskHost returns the host for a task that is placed by itself, or nil.
+func (p *Planner) chooseTaskHost(f *flow, t *task, hosts []*host, def *cowslipbend.Step, key stepKey, rack cowslipbend.Rack, minRate float64) *host {
+	if t.crashes.Suspect {
+		return p.chooseTrialHost(f, hosts, def, key, rack, minRate)
+	}
+	return p.chooseHost(hosts, def, key, rack, minRate)
+}
+
 // unknownRack is the rack of a step whose hosts have not reported to this owner yet.
 // No host has it, so that the other tasks wait.
 const unknownRack cowslipbend.Rack = "\x00"
@@ -235,6 +246,8 @@
 		return DelaySpread
 	case h.grade.refuses(def):
 		return DelaySlow
+	case h.trial.isClosedTo(key.job):
+		return DelayTrial
 	case !def.Reserved().Fits(h.free()):
 		return DelayRoom
 	case !h.takesStart():
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -109,6 +109,7 @@
 	ahead      ahead
 	// losses holds the losses of hosts since the last call of TakeLossEvents.
 	losses []LossEvent
+	trials trials
 }
 
 // agent is the process beside a runner.
--- a/planner/report.go
+++ b/planner/report.go
@@ -22,13 +22,13 @@
 	a.lastReportNumber = max(a.lastReportNumber, r.Number)
 	if r.Host == nil {
 		if h := p.hosts[r.LostLife]; newer && h != nil {
-			p.loseHost(h, r)
+			p.loseHost(h, r, now)
 		}
 		return
 	}
 	if newer && (a.runnerLife != r.Host.Life || p.hosts[r.Host.Life] == nil) {
 		p.carryRuns(a, r)
-		p.replaceHost(a, r)
+		p.replaceHost(a, r, now)
 	}
 	h := p.hosts[r.Host.Life]
 	if h == nil || a.runnerLife != r.Host.Life {
@@ -100,10 +100,10 @@
 
 // replaceHost sets a new incarnation of the runner of an agent. All runs of the
 // old one have ended.
-func (p *Planner) replaceHost(a *agent, r *cowslipbend.HostReport) {
+func (p *Planner) replaceHost(a *agent, r *cowslipbend.HostReport, now cowslipbend.Time) {
 	life := r.Host.Life
 	if old := p.hosts[a.runnerLife]; old != nil && old.life != life {
-		p.loseHost(old, r)
+		p.loseHost(old, r, now)
 	}
 	a.runnerLife, a.knowsRuns, p.agentsChanged = life, false, true
 	if p.hosts[life] == nil {
@@ -178,9 +178,10 @@
 	if t == nil {
 		return
 	}
-	if !pl.confirmed {
-		p.confirmStart(s.RunRef, pl)
+	if !pl.confirmed || pl.confirmedAt == 0 {
+		p.confirmStart(s.RunRef, pl, now)
 	}
+	p.checkSurvival(h, f, t, s.RunRef, pl, listedAt, now)
 	p.trackProgress(f, s, pl, listedAt)
 	if t.phase == phasePlaced && s.Checkpoint != "" && p.isAhead(t, s) {
 		if s.Checkpoint != t.checkpoint {
@@ -191,8 +192,10 @@
 }
 
 // confirmStart records that a run has started.
-func (p *Planner) confirmStart(ref cowslipbend.RunRef, pl *placement) {
-	pl.confirmed = true
+func (p *Planner) confirmStart(ref cowslipbend.RunRef, pl *placement, now cowslipbend.Time) {
+	if pl.confirmed = true; pl.confirmedAt == 0 {
+		pl.confirmedAt = now
+	}
 	if f := p.flows[ref.Task.Job]; f != nil && !f.begun {
 		f.begun = true
 		p.markDirty(f)
@@ -228,7 +231,7 @@
 	}
 	switch res.Kind {
 	case cowslipbend.Started:
-		p.confirmStart(res.RunRef, pl)
+		p.confirmStart(res.RunRef, pl, now)
 		p.trackStart(res.RunRef, pl, now)
 		p.beginProgress(res.RunRef, pl, now)
 	case cowslipbend.Refused:
--- a/planner/row.go
+++ b/planner/row.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/isolator"
 )
 
 // Row is the stored progress of a flow.
@@ -35,6 +36,8 @@
 	Checkpoint string                  `json:"c,omitempty"`
 	// Other is the earlier one of two runs that have not ended.
 	Other *RowRun `json:"o,omitempty"`
+	// Crashes is what is known of the hosts that crashed under its runs.
+	Crashes *isolator.Record `json:"x,omitempty"`
 }
 
 // AgentRow is a stored agent: its URL, and the incarnation of its runner on
@@ -144,6 +147,10 @@
 		return row
 	}
 	row.Failures, row.Host, row.Checkpoint, row.Other = t.failures, t.host, t.checkpoint, t.other.row()
+	if t.crashes != (isolator.Record{}) {
+		crashes := t.crashes
+		row.Crashes = &crashes
+	}
 	return row
 }
 
@@ -165,6 +172,9 @@
 			ref := def.Ref(rr.Number, rt.Step, rt.Index)
 			t := f.task(ref)
 			t.run, t.failures, t.host, t.checkpoint = rt.Run, rt.Failures, rt.Host, rt.Checkpoint
+			if rt.Crashes != nil {
+				t.crashes = *rt.Crashes
+			}
 			if rt.Done {
 				t.phase = phaseDone
 			} else {
@@ -182,7 +192,12 @@
 
 // addInherited adds a run that an earlier owner ordered.
 func (p *Planner) addInherited(f *flow, ref cowslipbend.RunRef, life cowslipbend.Incarnation, now cowslipbend.Time) {
-	p.expectHost(life, now).addRun(ref, f.step(ref.Task).def).inherited = true
+	h := p.expectHost(life, now)
+	pl := h.addRun(ref, f.step(ref.Task).def)
+	pl.inherited = true
+	if f.task(ref.Task).crashes.Suspect {
+		h.beginTrial(f.def.ID, pl)
+	}
 }
 
 // FlowState returns the state of the flow as callers see it.
