supervisor: a changed capacity of the runner is reported at once

The owner already uses the size of the newest report and counts runs that are being stopped (TestShrunkHost passes on the code before). But the agent told it with the next report only, up to 0.5 s later; it reports at once now, as for draining, and logs it. TestCapacityChange failed before: no report without a passing clock.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -138,7 +138,7 @@
 // relatedMessages lists the messages about hosts, agents and owners that can
 // belong to the timeline of a flow that they do not name.
 var relatedMessages = []string{
-	"runner discovered", "runner drain state changed", "runner is shutting down", "runner lost", "host lost",
+	"runner discovered", "runner drain state changed", "runner capacity changed", "runner is shutting down", "runner lost", "host lost",
 	"runner did not confirm the lease", "agent did not confirm orders", "flows taken over", "agent started", "agent stopped",
 	// Earlier versions wrote these messages with the same meaning.
 	"runner known", "runner drains", "runner leaves", "runner was not held", "orders were not confirmed", "agent runs", "agent stops",
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -634,3 +634,31 @@
 		}
 	})
 }
+
+// It guards against starts on a host that has shrunk below what its runs, also those
+// that are being stopped, reserve.
+func TestShrunkHost(t *testing.T) {
+	p := newPool(t, 1)
+	p.plan.Submit(flow("f", step(4, 1)))
+	orders := p.decide()
+	assert.Equal(t, len(orders["h0"].Starts), 4)
+	p.startRuns(orders)
+	full := p.reports["h0"].Host.Size
+	resize := func(cores cowslipbend.Millicores) {
+		spec := *p.reports["h0"].Host
+		spec.Size.CPU = cores * cowslipbend.Core
+		p.reports["h0"].Host = &spec
+		p.report("h0")
+	}
+	resize(2)
+	p.plan.Submit(flow("g", step(1, 1)))
+	assert.Equal(t, len(p.decide()["h0"].Starts), 0, "four cores in use of two")
+	for i := range 2 {
+		p.endRun("h0", orders["h0"].Starts[i].RunRef, cowslipbend.EndDone)
+	}
+	assert.Equal(t, len(p.decide()["h0"].Starts), 0, "two cores in use of two")
+	p.plan.Cancel("f")
+	assert.Equal(t, len(p.decide()["h0"].Starts), 0, "two runs are being stopped")
+	resize(full.CPU / cowslipbend.Core)
+	assert.Equal(t, len(p.decide()["h0"].Starts), 1, "grown again")
+}
--- a/supervisor/loss_test.go
+++ b/supervisor/loss_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -76,3 +77,19 @@
 		assert.Equal(t, f.owner.lastReport().Loss.Cause, cowslipbend.LossLapsed)
 	})
 }
+
+// It guards against an owner that goes on with the old size of a host that has shrunk.
+func TestCapacityChange(t *testing.T) {
+	f := newFixture(t)
+	f.connectRunner()
+	sentAt := f.clock.Now()
+	small := cowslipbend.Resources{CPU: cowslipbend.Core, Mem: cowslipbend.GB}
+	f.supervisor.Heartbeat(cowslipbend.RunnerHeartbeat{Host: cowslipbend.HostSpec{Life: life, Runner: "r", Service: "ledger", Size: small}, Sequence: 2, Clock: sentAt})
+	for range 2000 {
+		if f.owner.lastReport().Host.Size == small {
+			break
+		}
+		time.Sleep(5 * time.Millisecond) // The clock stands still: no report is due otherwise.
+	}
+	assert.Equal(t, f.owner.lastReport().Host.Size, small)
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -229,12 +229,16 @@
 		if b.Sequence <= s.heartbeatSequence {
 			return
 		}
-		drainingChanged := s.host.Draining != b.Host.Draining
+		drainingChanged, sizeChanged := s.host.Draining != b.Host.Draining, s.host.Size != b.Host.Size
 		s.heartbeatSequence, s.host, s.heartbeatAt = b.Sequence, &b.Host, s.clock.Now()
 		if drainingChanged {
 			s.log.Info("runner drain state changed", "life", b.Host.Life, "left", b.Host.DrainRemaining)
 			s.triggerReport()
 		}
+		if sizeChanged {
+			s.log.Info("runner capacity changed", "life", b.Host.Life, "cpu", b.Host.Size.CPU, "mem", b.Host.Size.Mem)
+			s.triggerReport()
+		}
 		return
 	}
 	// A runner that has answered itself is not an earlier one, although the clock of its
