planner: flows with suspected tasks don't wait for each other's trials for long

After several hosts crashed at once, their youngest flows could wait for each other for longer than the three seconds after which callers regard a flow as forgotten, with hosts free. A flow that has waited for 1.5 s beside free processors, which gets one task placed at any rate already, no longer counts the trials of others. TestManyTrials failed before: a flow not started again after 3 s.

--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -325,3 +325,26 @@
 	c.run(20 * cowslipbend.Second)
 	c.assertStates(40)
 }
+
+// It guards against flows that wait long for the trials of others while hosts are free.
+func TestManyTrials(t *testing.T) {
+	const flows = 24
+	c := newCrashes(t, 8, func(cowslipbend.RunRef) bool { return false })
+	for i := range flows {
+		c.plan.Submit(flow(fmt.Sprint("f", i), step(1, 1)))
+	}
+	c.run(2 * raceTick)
+	crashed := 0
+	for _, name := range c.names()[:4] {
+		crashed += len(c.reports[name].Running)
+		c.crash(name)
+	}
+	assert.Assert(t, crashed >= flows/3, "%d tasks are to be tried", crashed)
+	c.run(crashNotice + 3*cowslipbend.Second) // Callers then regard a flow as forgotten.
+	for i := range flows {
+		id := cowslipbend.JobID(fmt.Sprint("f", i))
+		state, _ := c.plan.State(id)
+		started := c.started[cowslipbend.TaskRef{Job: id}]
+		assert.Assert(t, state == cowslipbend.FlowDone || started == 2, "%s was started %d times", id, started)
+	}
+}
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -211,7 +211,11 @@
 // tries tasks of the flow already comes first, then those with the fewest runs to lose.
 // A host on which other flows have just started runs is held first.
 func (p *Planner) chooseTrialHost(f *flow, hosts []*host, def *cowslipbend.Step, key stepKey, rack cowslipbend.Rack, minRate float64) *host {
-	for _, h := range p.trialHosts(f.def.ID, hosts) {
+	share := trialShare
+	if minRate == 0 {
+		share = 1 // The flow has waited too long beside free processors.
+	}
+	for _, h := range p.trialHosts(f.def.ID, hosts, share) {
 		if p.chooseHost([]*host{h}, def, key, rack, minRate) == nil {
 			continue
 		}
@@ -226,8 +230,9 @@
 	return nil
 }
 
-// trialHosts returns the hosts that may try tasks of the flow, the best first.
-func (p *Planner) trialHosts(id cowslipbend.JobID, hosts []*host) []*host {
+// trialHosts returns the hosts that may try tasks of the flow, the best first. At most
+// the share of them tries tasks.
+func (p *Planner) trialHosts(id cowslipbend.JobID, hosts []*host, share float64) []*host {
 	var own, others []*host
 	closed := 0
 	for _, h := range hosts {
@@ -240,7 +245,7 @@
 			others = append(others, h)
 		}
 	}
-	if closed+len(own) >= max(int(trialShare*float64(len(hosts))), 1) {
+	if closed+len(own) >= max(int(share*float64(len(hosts))), 1) {
 		return own
 	}
 	slices.SortStableFunc(others, func(a, b *host) int { return cmp.Compare(len(a.runs), len(b.runs)) })
