--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -444,3 +444,24 @@
 	f.steps(25 * stepsPerSecond)
 	assert.Equal(t, f.phases("long")[cowslipbend.Finished], 4)
 }
+
+// TestTaskThatCrashesWorkersIsParked asserts that a task under which worker after worker
+// loses all its tasks is not started without end.
+func TestTaskThatCrashesWorkersIsParked(t *testing.T) {
+	const maxCrashes = 5
+	f := smallFleet(t, 8)
+	f.submit(job("bad", 1, cowslipbend.Core))
+	bad := f.engine.index.jobTasks(f.engine.state, "bad")[0].ID
+	crashes := 0
+	for range 60 * stepsPerSecond {
+		f.step()
+		for _, w := range f.workers {
+			if w.tasks[bad] != nil {
+				clear(w.tasks)
+				crashes++
+			}
+		}
+	}
+	assert.Assert(t, crashes <= maxCrashes, "%d crashes", crashes)
+	assert.Equal(t, f.phases("bad")[cowslipbend.Parked], 1)
+}
