supervisor: an answer of the next incarnation is the first sign of a crash

A runner that came back before its agent missed it was counted as lost only with the heartbeat of its next incarnation, up to 1.1 s later, and its runs as that much older, too old to be the cause of a crash. Its answers show the crash earlier. TestLoss failed before with an age of 1000 ms.

--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -102,7 +102,9 @@
 		return nil
 	}
 	if list.Life != life {
-		s.answeringLife = list.Life
+		if s.answeringLife = list.Life; s.contactBrokenAt == 0 {
+			s.contactBrokenAt = s.clock.Now()
+		}
 		return nil
 	}
 	if list.Malformed > 0 {
--- a/supervisor/loss_test.go
+++ b/supervisor/loss_test.go
@@ -57,8 +57,14 @@
 		f.connectRunner()
 		f.startRun(1)
 		f.runner.withLock(func(r *runner) { r.life = "r@2" })
+		for range 100 { // Renewals reach the new incarnation before its first heartbeat.
+			f.clock.Advance(10)
+			time.Sleep(time.Millisecond)
+		}
 		f.supervisor.Heartbeat(cowslipbend.RunnerHeartbeat{Host: cowslipbend.HostSpec{Life: "r@2", Runner: "r", Service: "ledger"}, Sequence: 1, Clock: f.clock.Now()})
 		assertLoss(t, f, cowslipbend.LossCrashed, 1)
+		age := f.owner.lastReport().Loss.Young[0].Age
+		assert.Assert(t, age < 500, "%d ms", age)
 	})
 	t.Run("a runner that had announced its end has left", func(t *testing.T) {
 		f := newFixture(t)
