stand/soaker, stand/hostrunner: tasks that crash their runners

The first task of one job in 15 crashes each runner that starts it, 10 ms later; the next incarnation follows at once. Checked: less than three starts after three crashes, and failed only after two.

--- a/stand/hostrunner/hostrunner.go
+++ b/stand/hostrunner/hostrunner.go
@@ -25,6 +25,19 @@
 // PerpetualSpec is the spec of tasks that run until they are stopped.
 const PerpetualSpec = "lasting"
 
+// CrashSpec is the spec of jobs whose first task crashes each runner that starts it.
+const CrashSpec = "crash"
+
+// crashDelay is the time from the start of such a task to the crash.
+const crashDelay = 10 * time.Millisecond
+
+// A task that crashes runners may be started less than maxLateStarts times after
+// maxTaskCrashes crashes.
+const (
+	maxTaskCrashes = 3
+	maxLateStarts  = 3
+)
+
 // perpetualDuration is the duration of their runs, longer than any test.
 const perpetualDuration = cowslipbend.Day
 
@@ -53,11 +66,17 @@
 	// noStartsFrom holds the failure domains in which no task may start from the
 	// time on.
 	noStartsFrom map[string]cowslipbend.Time
+	// crashes counts the crashes by task, lateStarts the starts of a task after
+	// maxTaskCrashes of them.
+	crashes, lateStarts map[string]int
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{running: map[string][]string{}, ackedDone: map[string]bool{}, done: map[string]bool{}, startedJobs: map[string]bool{}, copySteps: map[string]int{}, startsOn: map[string]int{}, noStartsFrom: map[string]cowslipbend.Time{}}
+	return &Pool{
+		running: map[string][]string{}, ackedDone: map[string]bool{}, done: map[string]bool{}, startedJobs: map[string]bool{}, copySteps: map[string]int{}, startsOn: map[string]int{}, noStartsFrom: map[string]cowslipbend.Time{},
+		crashes: map[string]int{}, lateStarts: map[string]int{},
+	}
 }
 
 // ExpectSteps enables the check that steps run in order. It expects every job
@@ -98,6 +117,20 @@
 	return p.copies
 }
 
+// Crashes returns the number of runners that a job has crashed.
+func (p *Pool) Crashes(job string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crashes[job+".0.0.0"]
+}
+
+// recordCrash records that a task has crashed its runner.
+func (p *Pool) recordCrash(task string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crashes[task]++
+}
+
 // JobStarted reports whether any task of the job has been started.
 func (p *Pool) JobStarted(job string) bool {
 	p.mu.Lock()
@@ -119,6 +152,11 @@
 	if from, out := p.noStartsFrom[domain]; out && arrivedAt >= from {
 		p.faults = append(p.faults, fmt.Sprintf("%s starts on %s %s after starts in domain %s had to end", task, runner, arrivedAt.Sub(from), domain))
 	}
+	if p.crashes[task] >= maxTaskCrashes {
+		if p.lateStarts[task]++; p.lateStarts[task] == maxLateStarts {
+			p.faults = append(p.faults, fmt.Sprintf("%s starts for the %dth time after it has crashed %d runners", task, maxLateStarts, maxTaskCrashes))
+		}
+	}
 	p.starts++
 	p.startsOn[runner]++
 	job, round, step, ok := splitTaskName(task)
@@ -216,6 +254,8 @@
 	// slowdown is the factor by which tasks take longer.
 	slowdown cowslipbend.Span
 	crashed  bool
+	// onCrash is called when a task has crashed the runner; it may be nil.
+	onCrash func()
 }
 
 type endedRun struct {
@@ -236,6 +276,26 @@
 // first heartbeat.
 func (r *Runner) SetDomain(domain string) { r.domain = domain }
 
+// OnCrash sets what is called when a task has crashed the runner. It must be called
+// before the first request.
+func (r *Runner) OnCrash(f func()) { r.onCrash = f }
+
+// crashBy crashes the runner because of a task, if the run is still there.
+func (r *Runner) crashBy(task string, number int64) {
+	r.mu.Lock()
+	x := r.runs[task]
+	hit := !r.crashed && x != nil && x.number == number
+	r.mu.Unlock()
+	if !hit {
+		return
+	}
+	r.pool.recordCrash(task)
+	r.Crash()
+	if r.onCrash != nil {
+		r.onCrash()
+	}
+}
+
 // SetDropAnswers makes the runner execute requests and break the connection
 // instead of answering.
 func (r *Runner) SetDropAnswers(drop bool) {
@@ -407,6 +467,9 @@
 		duration = perpetualDuration
 	}
 	r.runs[c.Task] = &run{task: c.Task, number: c.Run, endsAt: now.Add(duration * r.slowdown), duration: duration}
+	if c.Spec == CrashSpec && strings.HasSuffix(c.Task, ".0.0.0") {
+		time.AfterFunc(crashDelay, func() { r.crashBy(c.Task, c.Run) })
+	}
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
 	r.pool.recordStart(c.Task, r.name, r.domain, c.arrivedAt)
--- a/stand/soaker/client.go
+++ b/stand/soaker/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"cowslipbend.dev/stand/hostrunner"
 )
 
 // The job that clients submit has two steps, the second of which depends on the
@@ -21,10 +23,17 @@
 // copyStep is the step that allows copies in half of the jobs.
 const copyStep = 0
 
+// crashShare is the share of jobs, one of that many, whose first task crashes runners.
+const crashShare = 15
+
 // jobBody returns the body of a submission.
-func jobBody(allowsCopies bool) string {
-	return fmt.Sprintf(`{"spec":"x","steps":[{"count":3,"cpu":200,"mem_mb":64,"estimate_ms":300,"speculative":%t},`+
-		`{"count":2,"cpu":200,"mem_mb":64,"estimate_ms":300,"after":[0]}]}`, allowsCopies)
+func jobBody(o *jobOutcome) string {
+	spec := "x"
+	if o.crashesRunners {
+		spec = hostrunner.CrashSpec
+	}
+	return fmt.Sprintf(`{"spec":%q,"steps":[{"count":3,"cpu":200,"mem_mb":64,"estimate_ms":300,"speculative":%t},`+
+		`{"count":2,"cpu":200,"mem_mb":64,"estimate_ms":300,"after":[0]}]}`, spec, o.allowsCopies)
 }
 
 // Path prefixes of routes. The second is added by rules that are published
@@ -44,12 +53,18 @@
 	visibilityTimeout = 3 * time.Second
 )
 
+// minCrashesToFail is the number of runners that a task has to have crashed before its
+// job may be reported as failed.
+const minCrashesToFail = 2
+
 // jobOutcome is what a client has observed of a job that it submitted.
 type jobOutcome struct {
 	id         string
 	acceptedAt time.Time
 	// allowsCopies is set if tasks of copyStep may have a second run.
 	allowsCopies bool
+	// crashesRunners is set if its first task crashes the runners that start it.
+	crashesRunners bool
 	// refused is set if the job was refused and not submitted again, uncertain
 	// if an attempt may have been accepted without the client knowing.
 	refused   bool
@@ -156,7 +171,7 @@
 // newJob returns a job that is recorded and not submitted yet. Half of the jobs allow
 // copies.
 func (c *client) newJob() *jobOutcome {
-	o := &jobOutcome{id: fmt.Sprintf("%016x", c.rnd.Uint64()), allowsCopies: c.rnd.IntN(2) == 0}
+	o := &jobOutcome{id: fmt.Sprintf("%016x", c.rnd.Uint64()), allowsCopies: c.rnd.IntN(2) == 0, crashesRunners: c.rnd.IntN(crashShare) == 0}
 	if o.allowsCopies {
 		c.fleet.pool.AllowCopies(o.id, copyStep)
 	}
@@ -168,7 +183,7 @@
 // stopOnRefusal is set, an attempt is refused and none before it was uncertain.
 func (c *client) submit(ctx context.Context, o *jobOutcome, stopOnRefusal bool) {
 	for ctx.Err() == nil {
-		code, _ := c.call(ctx, http.MethodPost, c.randomFront(), baseRoute+o.id, jobBody(o.allowsCopies))
+		code, _ := c.call(ctx, http.MethodPost, c.randomFront(), baseRoute+o.id, jobBody(o))
 		switch code {
 		case http.StatusOK, http.StatusCreated, http.StatusAccepted:
 			o.acceptedAt = time.Now()
@@ -218,8 +233,8 @@
 	switch {
 	case answer.State == "cancelled" && !o.cancelled && !o.uncertain:
 		c.recorder.addFault("%s is reported as cancelled, and no client cancelled it", o.id)
-	case answer.State == "failed":
-		c.recorder.addFault("%s is reported as failed, and no task of it failed", o.id)
+	case answer.State == "failed" && c.fleet.pool.Crashes(o.id) < minCrashesToFail:
+		c.recorder.addFault("%s is reported as failed, and no task of it failed or crashed two runners", o.id)
 	}
 	return answer.State
 }
--- a/stand/soaker/fleet.go
+++ b/stand/soaker/fleet.go
@@ -109,6 +109,11 @@
 	work := taskDurations[(h.number+int(incarnation))%len(taskDurations)]
 	runner := hostrunner.New(h.pool, fmt.Sprintf("i-%d-%d", h.number, incarnation), work)
 	runner.SetDomain(domainOf(h.number))
+	runner.OnCrash(func() {
+		if h.runner.Load() == runner { // A fault may have replaced it too.
+			h.replaceRunner()
+		}
+	})
 	h.runner.Store(runner)
 }
 
--- a/stand/soaker/soaker.go
+++ b/stand/soaker/soaker.go
@@ -183,7 +183,7 @@
 	accepted := slices.DeleteFunc(slices.Clone(l.jobs), func(o *jobOutcome) bool { return o.acceptedAt.IsZero() })
 	for _, o := range pollUntilAll(settleCtx, accepted, func(o *jobOutcome) bool {
 		state := c.state(ctx, o)
-		return state == "done" || state == "cancelled"
+		return state == "done" || state == "cancelled" || (o.crashesRunners && state == "failed")
 	}) {
 		l.addFault("%s was accepted and has not ended", o.id)
 	}
