--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -14,20 +14,18 @@
 	// minTrial is the shortest time for which a suspected task has to run to be
 	// cleared.
 	minTrial = 300 * cowslipbend.Millisecond
-	// suspectCrashes is the number of crashes from which a task is suspected
-	// although each of them had younger runs, or none of its age.
+	// suspectCrashes is the number of crashes under young runs of a task from which it
+	// is suspected although it is not a possible cause of them.
 	suspectCrashes = 2
-	// giveUpBlamed is the number of crashes without any other suspected flow on the
-	// host from which a task is given up.
+	// giveUpBlamed is the number of crashes that no other flow can have caused from
+	// which a task is given up.
 	giveUpBlamed = 2
-	// carefulBlamed and carefulCrashes take its place while hosts also crash for
-	// other causes: that many without another flow, or giveUpBlamed of at least that
-	// many in all.
+	// While hosts also crash for other causes it takes carefulBlamed such crashes, or
+	// giveUpBlamed among at least carefulCrashes under young runs.
 	carefulBlamed  = 3
 	carefulCrashes = 4
-	// giveUpNamed is the number of crashes as one of the possible causes from which a
-	// task is given up although other flows could always be the cause too. A task
-	// that crashes its hosts may be started twice more after three crashes.
+	// giveUpNamed is the number of crashes as one of several possible causes from which
+	// a task is given up. A fourth start after three crashes is allowed, and a fifth.
 	giveUpNamed = 4
 )
 
--- a/loss.go
+++ b/loss.go
@@ -21,9 +21,6 @@
 	LossReplaced LossCause = "replaced"
 )
 
-// LossCauses lists all causes.
-var LossCauses = []LossCause{LossCrashed, LossLeft, LossLapsed, LossReplaced}
-
 // HostLoss describes the loss of an incarnation of a runner.
 type HostLoss struct {
 	Life  Incarnation `json:"life"`
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -38,9 +38,6 @@
 	TrialFailed TrialOutcome = "given up"
 )
 
-// TrialOutcomes lists all outcomes.
-var TrialOutcomes = []TrialOutcome{TrialDue, TrialPassed, TrialFailed}
-
 // TrialEvent tells that a task is suspected to crash hosts, or what became of it.
 type TrialEvent struct {
 	Task    cowslipbend.TaskRef
