--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -36,6 +36,8 @@
 	// planned hosts announce their end, unreachable ones are missed only when their
 	// lease has lapsed.
 	planned, unreachable bool
+	// gangs holds the flows whose tasks only work together.
+	gangs map[cowslipbend.JobID]bool
 	// rows holds the committed progress.
 	rows map[cowslipbend.JobID][]byte
 	// started counts the starts of each task, crashCount the crashes.
@@ -132,6 +134,22 @@
 	r.Host, r.LostLife, r.Loss, r.Running, r.Ends = nil, r.Host.Life, loss, nil, nil
 	c.lost[name] = c.now
 	c.crashCount++
+	for _, l := range loss.Young {
+		if c.gangs[l.Task.Job] {
+			c.breakGang(l.Task.Job)
+		}
+	}
+}
+
+// breakGang ends the members of a gang of which one was lost.
+func (c *crashes) breakGang(id cowslipbend.JobID) {
+	for _, name := range c.names() {
+		for _, s := range slices.Clone(c.reports[name].Running) {
+			if s.Task.Job == id {
+				c.endRun(name, s.RunRef, cowslipbend.EndBroken)
+			}
+		}
+	}
 }
 
 // crashNewest crashes the host on which a run was started last.
@@ -231,6 +249,28 @@
 			c.assertStates(20, bad...)
 		})
 	}
+	for name, change := range map[string]func(s *cowslipbend.Step){
+		"in a gang":                  func(s *cowslipbend.Step) { s.Gang = true },
+		"in one rack":                func(s *cowslipbend.Step) { s.Compact = true },
+		"one a host":                 func(s *cowslipbend.Step) { s.MaxPerHost = 1 },
+		"with copies":                func(s *cowslipbend.Step) { s.AllowsCopies = true },
+		"filling idle processors":    func(s *cowslipbend.Step) { s.Fills = true },
+		"lasting until it is ended":  func(s *cowslipbend.Step) { s.Lasting = true },
+		"filling a host by its size": func(s *cowslipbend.Step) { s.Size.CPU = 4 * cowslipbend.Core },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCrashes(t, 10, firstOf("f1"))
+			s := step(4, 1)
+			change(&s)
+			c.gangs = map[cowslipbend.JobID]bool{"f1": s.Gang}
+			c.plan.Submit(flow("f0", step(4, 1)))
+			c.plan.Submit(flow("f1", s))
+			c.plan.Submit(flow("f2", step(4, 1)))
+			c.run(20 * cowslipbend.Second)
+			c.assertStarts("f1")
+			c.assertStates(3, "f1")
+		})
+	}
 	t.Run("though the owner changes after each crash", func(t *testing.T) {
 		c := newCrashes(t, 10, firstOf("f1"))
 		c.submit(4)
