--- a/stand/hostrunner/hostrunner.go
+++ b/stand/hostrunner/hostrunner.go
@@ -152,11 +152,7 @@
 	if from, out := p.noStartsFrom[domain]; out && arrivedAt >= from {
 		p.faults = append(p.faults, fmt.Sprintf("%s starts on %s %s after starts in domain %s had to end", task, runner, arrivedAt.Sub(from), domain))
 	}
-	if p.crashes[task] >= maxTaskCrashes {
-		if p.lateStarts[task]++; p.lateStarts[task] == maxLateStarts {
-			p.faults = append(p.faults, fmt.Sprintf("%s starts for the %dth time after it has crashed %d runners", task, maxLateStarts, maxTaskCrashes))
-		}
-	}
+	p.checkCrashes(task)
 	p.starts++
 	p.startsOn[runner]++
 	job, round, step, ok := splitTaskName(task)
@@ -185,6 +181,16 @@
 	}
 }
 
+// checkCrashes records a fault if a task that crashes runners is started too often.
+func (p *Pool) checkCrashes(task string) {
+	if p.crashes[task] < maxTaskCrashes {
+		return
+	}
+	if p.lateStarts[task]++; p.lateStarts[task] == maxLateStarts {
+		p.faults = append(p.faults, fmt.Sprintf("%s starts for the %dth time after it has crashed %d runners", task, maxLateStarts, maxTaskCrashes))
+	}
+}
+
 // splitTaskName splits a name of the form job.round.step.index. For any other
 // name it returns the whole name as the job, and false.
 func splitTaskName(task string) (job, round string, step int, ok bool) {
