--- a/planner/host.go
+++ b/planner/host.go
@@ -123,7 +123,8 @@
 	imageDemands  map[string]cowslipbend.Millicores
 	// reservation keeps room for a large task that waits, if any.
 	reservation *reserver.Reservation
-	trial       hostTrial
+	// trial tells whether the host is closed to other flows, as it tries tasks of one.
+	trial hostTrial
 }
 
 func newHost(life cowslipbend.Incarnation) *host {
