estimator: the hosts of a group share its base load, with a slope

Hypothesis: the load of a serving flow rises and falls on all its hosts at once (seen in the agents' samples: tails of one flow on three hosts differ by 1 ms over its whole swing), but each host's base load was estimated by itself, so that a swing was taken for interference, and interference for a swing.

Change: one level and slope for each group, and the deviation of each host from it, whose variance is learned, so that hosts that do differ keep loads of their own.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -19,9 +19,9 @@
 	// varies by half.
 	meanBaseLoad     = 0.42
 	baseLoadVariance = 0.03
-	// baseLoadDriftVariance is the variance that a known base load gains from
-	// one sample to the next, half a second later.
-	baseLoadDriftVariance = 0.006
+	// priorSpread is the variance of the base loads of a group's hosts about that
+	// of the group, until samples have told better.
+	priorSpread = 0.01
 	// noiseVariance is the variance of a load that is derived from a tail
 	// latency in whole milliseconds.
 	noiseVariance = 0.006
@@ -61,7 +61,7 @@
 // measured and the highest accepted tail latency in milliseconds.
 type Serving struct {
 	Image string
-	// Group names the tasks whose base loads vary together.
+	// Group names the tasks whose base loads vary together, on all hosts.
 	Group  string
 	Tail   float64
 	Target float64
@@ -87,6 +87,7 @@
 // Sample is the state of one host at one time.
 type Sample struct {
 	Host    string
+	At      cowslipbend.Time
 	Serving []Serving
 	Filling []Filling
 }
@@ -94,7 +95,7 @@
 type imagePair struct{ serving, filling string }
 
 // estimate is the mean and variance of an interference coefficient or of the
-// base load of a group.
+// deviation of a host's base load.
 type estimate struct{ mean, variance float64 }
 
 // pairEstimate is the estimate of an interference coefficient. published is the
@@ -126,15 +127,19 @@
 	fillings map[string][]string
 	// minTails holds the lowest tail measured of each serving image.
 	minTails map[string]float64
-	// baseLoads holds, for each host, the base load of each group in the last
-	// sample.
-	baseLoads map[string]map[servingGroup]estimate
-	version   int64
+	// groupLoads holds the base load of each group, hostLoads the deviations from
+	// it of the groups in the last sample of each host.
+	groupLoads map[servingGroup]groupLoad
+	hostLoads  map[string]map[servingGroup]hostLoad
+	version    int64
 }
 
 // New returns an estimator that has observed nothing.
 func New() *Estimator {
-	return &Estimator{pairs: map[imagePair]pairEstimate{}, fillings: map[string][]string{}, minTails: map[string]float64{}, baseLoads: map[string]map[servingGroup]estimate{}}
+	return &Estimator{
+		pairs: map[imagePair]pairEstimate{}, fillings: map[string][]string{}, minTails: map[string]float64{},
+		groupLoads: map[servingGroup]groupLoad{}, hostLoads: map[string]map[servingGroup]hostLoad{},
+	}
 }
 
 // Version returns the version of the newest published estimate.
@@ -191,32 +196,46 @@
 	return e.Load(Serving{Image: image, Tail: target * share, Target: target})
 }
 
-// Observe updates the estimates from a sample. Samples of a host are half a
-// second apart.
+// Observe updates the estimates from a sample.
 func (e *Estimator) Observe(s Sample) {
 	for _, t := range s.Serving {
 		if t.Tail > 0 && t.Target > 0 {
 			e.minTails[t.Image] = min(e.minTail(t.Image, t.Target), t.Tail)
 		}
 	}
-	previous, current := e.baseLoads[s.Host], map[servingGroup]estimate{}
+	previous, current := e.hostLoads[s.Host], map[servingGroup]hostLoad{}
 	for g, load := range e.meanLoads(s) {
-		est, ok := previous[g]
+		shared, known := e.groupLoads[g]
+		if !known {
+			shared = newGroupLoad(s.At)
+		}
+		deviation, ok := previous[g]
 		if !ok {
-			est = estimate{meanBaseLoad, baseLoadVariance}
+			deviation = hostLoad{estimate: estimate{variance: shared.spread}, at: s.At}
+		}
+		shared.advance(s.At)
+		deviation.advance(s.At, shared.spread)
+		e.update(g.image, load, &shared, &deviation, s.Filling)
+		e.groupLoads[g], current[g] = shared, deviation
+	}
+	e.hostLoads[s.Host] = current
+	for g := range previous {
+		if _, ok := current[g]; !ok {
+			e.forgetGroup(g)
 		}
-		current[g] = e.update(g.image, load, est, s.Filling)
 	}
-	e.baseLoads[s.Host] = current
 }
 
-// BaseLoad returns the highest base load of the image's groups on a host, or
-// the prior mean of all images if the last sample of the host had none of them.
-func (e *Estimator) BaseLoad(host, image string) float64 {
+// BaseLoad returns the highest base load that the image's groups on a host are
+// expected to have at a time, or the prior mean of all images if the last sample of
+// the host had none of them.
+func (e *Estimator) BaseLoad(host, image string, at cowslipbend.Time) float64 {
 	largest, found := 0.0, false
-	for g, est := range e.baseLoads[host] {
+	for g, deviation := range e.hostLoads[host] {
 		if g.image == image {
-			largest, found = max(largest, est.mean), true
+			shared := e.groupLoads[g]
+			shared.advance(at)
+			largest, found = max(largest, min(shared.level+deviation.mean, maxMeasurableLoad)), true
 		}
 	}
 	if !found {
@@ -226,7 +245,23 @@
 }
 
 // ForgetHost drops the base loads of a host.
-func (e *Estimator) ForgetHost(host string) { delete(e.baseLoads, host) }
+func (e *Estimator) ForgetHost(host string) {
+	groups := e.hostLoads[host]
+	delete(e.hostLoads, host)
+	for g := range groups {
+		e.forgetGroup(g)
+	}
+}
+
+// forgetGroup drops the load of a group that no host has any more.
+func (e *Estimator) forgetGroup(g servingGroup) {
+	for _, groups := range e.hostLoads {
+		if _, ok := groups[g]; ok {
+			return
+		}
+	}
+	delete(e.groupLoads, g)
+}
 
 // meanLoads returns the mean load of the tasks in each group, as interference
 // is the same for all of them.
@@ -246,21 +281,20 @@
 }
 
 // update distributes the difference between a measured and the expected load
-// among the interference coefficients of the filling images and the group's
-// base load, and returns the new base load.
-func (e *Estimator) update(serving string, load float64, baseLoad estimate, fillings []Filling) estimate {
-	baseLoad.mean += (meanBaseLoad - baseLoad.mean) * baseLoadDriftVariance / (2 * baseLoadVariance) // The base load reverts to its mean.
-	baseLoad.variance = min(baseLoad.variance+baseLoadDriftVariance, baseLoadVariance)
-	expected, variance := baseLoad.mean, baseLoad.variance+noiseVariance
+// among the interference coefficients of the filling images, the group's base load
+// and its deviation on the host.
+func (e *Estimator) update(serving string, load float64, shared *groupLoad, deviation *hostLoad, fillings []Filling) {
+	expected, fillingVariance := shared.level+deviation.mean, 0.0
 	for _, f := range fillings {
 		pair := e.estimateOf(imagePair{serving, f.Image})
 		expected += pair.mean * f.Share
-		variance += pair.variance * f.Share * f.Share
+		fillingVariance += pair.variance * f.Share * f.Share
 	}
 	if load >= maxMeasurableLoad && expected >= maxMeasurableLoad {
-		return baseLoad // The tail only confirms that the load is above what can be measured.
+		return // The tail only confirms that the load is above what can be measured.
 	}
 	innovation := load - expected
+	variance := shared.levelVariance + deviation.variance + noiseVariance + fillingVariance
 	for _, f := range fillings {
 		key := imagePair{serving, f.Image}
 		pair, ok := e.pairs[key]
@@ -278,10 +312,11 @@
 		}
 		e.setPair(key, pair)
 	}
-	gain := baseLoad.variance / variance
-	baseLoad.mean = min(max(baseLoad.mean+gain*innovation, 0), maxMeasurableLoad)
-	baseLoad.variance *= 1 - gain
-	return baseLoad
+	if fillingVariance < noiseVariance {
+		shared.observeSpread(innovation + deviation.mean)
+	}
+	shared.correct(innovation, variance)
+	deviation.correct(innovation, variance)
 }
 
 // Pairs returns the estimates for all serving images for which include returns
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -68,8 +68,8 @@
 // whose pace changes. Runs with the least interference get headroom first, so
 // that as little filling work as possible is slowed for a given reduction of
 // load.
-func (p *Pacer) Decide(serving []estimator.Serving, runs []Run) map[cowslipbend.RunRef]int {
-	p.model.Observe(estimator.Sample{Serving: serving, Filling: fillings(runs)})
+func (p *Pacer) Decide(now cowslipbend.Time, serving []estimator.Serving, runs []Run) map[cowslipbend.RunRef]int {
+	p.model.Observe(estimator.Sample{At: now, Serving: serving, Filling: fillings(runs)})
 	p.countOverTarget(serving)
 	return p.paceChanges(p.updateHeadroom(serving, runs), runs)
 }
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -18,7 +18,9 @@
 const (
 	unloadedTail = 4.0  // milliseconds
 	target       = 18.0 // milliseconds
-	samples      = 240  // half a second apart
+	samples      = 240
+
+	sampleInterval = 500 // milliseconds
 )
 
 // host simulates serving images whose load varies within seconds and filling
@@ -90,7 +92,7 @@
 			longestOverTarget = max(longestOverTarget, samplesOverTarget[i])
 			serving = append(serving, estimator.Serving{Image: name, Tail: tail, Target: target})
 		}
-		for ref, pace := range p.Decide(serving, h.runs) {
+		for ref, pace := range p.Decide(cowslipbend.Time(sample)*sampleInterval, serving, h.runs) {
 			for i := range h.runs {
 				if h.runs[i].Ref == ref {
 					h.runs[i].Pace = pace
@@ -131,7 +133,7 @@
 	t.Run("without serving tasks all runs have full pace", func(t *testing.T) {
 		r := run(0, "x")
 		r.Pace = 40
-		assert.DeepEqual(t, pacer.New(estimator.New()).Decide(nil, []pacer.Run{r}), map[cowslipbend.RunRef]int{r.Ref: 100})
+		assert.DeepEqual(t, pacer.New(estimator.New()).Decide(0, nil, []pacer.Run{r}), map[cowslipbend.RunRef]int{r.Ref: 100})
 	})
 	t.Run("runs with the least interference get headroom first", func(t *testing.T) {
 		model := estimator.New()
@@ -139,7 +141,7 @@
 			{Serving: "web", Filling: "light", Interference: 0.1, Variance: 0.01}, {Serving: "web", Filling: "heavy", Interference: 5, Variance: 0.01},
 		})
 		heavy, light := run(0, "heavy"), run(1, "light")
-		changes := pacer.New(model).Decide([]estimator.Serving{{Image: "web", Tail: 12, Target: target}}, []pacer.Run{heavy, light})
+		changes := pacer.New(model).Decide(0, []estimator.Serving{{Image: "web", Tail: 12, Target: target}}, []pacer.Run{heavy, light})
 		assert.Assert(t, changes[heavy.Ref] < 50, "%v", changes)
 		_, changed := changes[light.Ref]
 		assert.Assert(t, !changed, "%v", changes)
@@ -151,12 +153,12 @@
 		for sample := range 7 {
 			// The model is certain that the image does not interfere.
 			model.UpdatePairs([]cowslipbend.ImagePair{{Serving: "web", Filling: "light", Interference: 0, Variance: 0}})
-			changes := p.Decide([]estimator.Serving{{Image: "web", Tail: target + 1, Target: target}}, []pacer.Run{r})
+			changes := p.Decide(0, []estimator.Serving{{Image: "web", Tail: target + 1, Target: target}}, []pacer.Run{r})
 			pace, changed := changes[r.Ref]
 			assert.Equal(t, changed, sample >= 5, "sample %d: %v", sample, changes)
 			assert.Equal(t, pace, 0)
 		}
-		changes := p.Decide([]estimator.Serving{{Image: "web", Tail: target / 2, Target: target}}, []pacer.Run{{Ref: r.Ref, Image: r.Image, RequestedShare: r.RequestedShare}})
+		changes := p.Decide(0, []estimator.Serving{{Image: "web", Tail: target / 2, Target: target}}, []pacer.Run{{Ref: r.Ref, Image: r.Image, RequestedShare: r.RequestedShare}})
 		assert.Equal(t, changes[r.Ref], 100)
 	})
 }
--- a/planner/place.go
+++ b/planner/place.go
@@ -338,7 +338,7 @@
 	if serving.headroomAt > 0 && p.now.Sub(serving.headroomAt) <= maxHeadroomAge {
 		return serving.headroom
 	}
-	headroom := p.estimator.TargetLoad(serving.image, float64(serving.tailTarget), goalShare) - p.estimator.BaseLoad(string(h.life), serving.image)
+	headroom := p.estimator.TargetLoad(serving.image, float64(serving.tailTarget), goalShare) - p.estimator.BaseLoad(string(h.life), serving.image, p.now)
 	for filling, cpu := range h.imageDemands {
 		headroom -= p.estimator.InterferenceBound(serving.image, filling, cautionDeviations) * h.cpuShare(cpu)
 	}
--- a/planner/report.go
+++ b/planner/report.go
@@ -43,7 +43,7 @@
 		p.applyLists(h, r, now)
 		if now.Sub(h.observedAt) >= observeInterval {
 			h.observedAt = now
-			p.estimator.Observe(h.estimatorSample())
+			p.estimator.Observe(h.estimatorSample(now.Add(-r.ListAge)))
 			h.forgetHeadroom()
 		}
 	}
@@ -75,8 +75,8 @@
 
 // estimatorSample returns the filling and serving runs of the host as the
 // estimator takes them.
-func (h *host) estimatorSample() estimator.Sample {
-	s := estimator.Sample{Host: string(h.life)}
+func (h *host) estimatorSample(at cowslipbend.Time) estimator.Sample {
+	s := estimator.Sample{Host: string(h.life), At: at}
 	used := map[string]float64{}
 	for ref, pl := range h.runs {
 		switch {
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -243,7 +243,7 @@
 	if s.log.IsDebug() {
 		s.log.Debug("deciding the paces of filling runs", "life", s.host.Life, "runs", s.describeRuns())
 	}
-	return s.pacer.Decide(serving, filling)
+	return s.pacer.Decide(s.pacedAt, serving, filling)
 }
 
 // servingAndFilling returns the states of the serving and filling runs on the
