--- a/stand/main.go
+++ b/stand/main.go
@@ -16,6 +16,6 @@
 	return &cli.Command{
 		Name:     "stand",
 		Usage:    "stand-ins for the platform, workers and callers",
-		Commands: []*cli.Command{tryCommand(), platformCommand(), workerCommand(), loadCommand(), measureCommand(), idleCommand(), soakCommand()},
+		Commands: []*cli.Command{tryCommand(), platformCommand(), workerCommand(), loadCommand(), measureCommand(), idleCommand(), soakCommand(), compareCommand()},
 	}
 }
