--- a/admitter/ticket.go
+++ b/admitter/ticket.go
@@ -60,7 +60,9 @@
 
 // Abandon ends a request whose connection the agent closed before the answer.
 // The endpoint may not notice and go on with the request, so its slot stays in
-// use until the request has taken as long as the longest recent answer.
+// use until the request has taken as long as the longest recent answer. If it has
+// taken longer already, the endpoint is slower than it was, and nothing but
+// maxAbandonedTime bounds the request.
 func (t *Ticket) Abandon() {
 	g := t.gate
 	g.mu.Lock()
@@ -71,7 +73,11 @@
 	if t.rec.nonIdempotent {
 		retention = max(retention, g.opts.AnswerRetention)
 	}
-	remaining := min(t.endpoint.longestAnswer, maxAbandonedTime) - now.Sub(t.acceptedAt)
+	elapsed, expected := now.Sub(t.acceptedAt), t.endpoint.longestAnswer
+	if elapsed >= expected {
+		expected = maxAbandonedTime
+	}
+	remaining := min(expected, maxAbandonedTime) - elapsed
 	if t.watch || remaining <= 0 {
 		t.end(now, retention)
 		return
