estimator: noise of the base load and of what filling work adds told apart

Hypothesis: the noise of a sample (0.006) was six times what hosts without filling work show, so that pairs and base loads were learned slowly; what is noisy is the load that filling work adds, as it begins and ends within the span of a sample.

Change: noise 0.0015, and 0.3 of the added load as a standard deviation.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -24,7 +24,10 @@
 	priorSpread = 0.01
 	// noiseVariance is the variance of a load that is derived from a tail
 	// latency in whole milliseconds.
-	noiseVariance = 0.006
+	noiseVariance = 0.0015
+	// fillingNoise is the standard deviation of the load that filling work adds, as a
+	// share of it: it varies, and begins and ends within the span of a sample.
+	fillingNoise = 0.3
 	// interferenceDriftVariance is added to the variance of a coefficient with
 	// each sample, so that the estimate can follow a coefficient that changes.
 	interferenceDriftVariance = 0.0005
@@ -284,17 +287,18 @@
 // among the interference coefficients of the filling images, the group's base load
 // and its deviation on the host.
 func (e *Estimator) update(serving string, load float64, shared *groupLoad, deviation *hostLoad, fillings []Filling) {
-	expected, fillingVariance := shared.level+deviation.mean, 0.0
+	expected, fillingVariance, added := shared.level+deviation.mean, 0.0, 0.0
 	for _, f := range fillings {
 		pair := e.estimateOf(imagePair{serving, f.Image})
-		expected += pair.mean * f.Share
+		added += pair.mean * f.Share
 		fillingVariance += pair.variance * f.Share * f.Share
 	}
+	expected += added
 	if load >= maxMeasurableLoad && expected >= maxMeasurableLoad {
 		return // The tail only confirms that the load is above what can be measured.
 	}
 	innovation := load - expected
-	variance := shared.levelVariance + deviation.variance + noiseVariance + fillingVariance
+	variance := shared.levelVariance + deviation.variance + noiseVariance + fillingNoise*fillingNoise*added*added + fillingVariance
 	for _, f := range fillings {
 		key := imagePair{serving, f.Image}
 		pair, ok := e.pairs[key]
