--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -287,42 +287,53 @@
 // among the interference coefficients of the filling images, the group's base load
 // and its deviation on the host.
 func (e *Estimator) update(serving string, load float64, shared *groupLoad, deviation *hostLoad, fillings []Filling) {
-	expected, fillingVariance, added := shared.level+deviation.mean, 0.0, 0.0
-	for _, f := range fillings {
-		pair := e.estimateOf(imagePair{serving, f.Image})
-		added += pair.mean * f.Share
-		fillingVariance += pair.variance * f.Share * f.Share
-	}
-	expected += added
+	added, addedVariance := e.addedLoad(serving, fillings)
+	expected := shared.level + deviation.mean + added
 	if load >= maxMeasurableLoad && expected >= maxMeasurableLoad {
 		return // The tail only confirms that the load is above what can be measured.
 	}
 	innovation := load - expected
-	variance := shared.levelVariance + deviation.variance + noiseVariance + fillingNoise*fillingNoise*added*added + fillingVariance
+	variance := shared.levelVariance + deviation.variance + noiseVariance + fillingNoise*fillingNoise*added*added + addedVariance
 	for _, f := range fillings {
-		key := imagePair{serving, f.Image}
-		pair, ok := e.pairs[key]
-		if !ok && len(e.pairs) >= maxPairs || f.Share < minFillingShare {
-			continue
-		}
-		if !ok {
-			pair.estimate = e.estimateOf(key)
-		}
-		gain := pair.variance * f.Share / variance
-		pair.mean = min(max(pair.mean+gain*innovation, 0), maxInterference)
-		pair.variance = pair.variance*(1-gain*f.Share) + interferenceDriftVariance
-		if pair.publish(e.version + 1) {
-			e.version++
-		}
-		e.setPair(key, pair)
+		e.correctPair(imagePair{serving, f.Image}, f.Share, innovation, variance)
 	}
-	if fillingVariance < noiseVariance {
+	if addedVariance < noiseVariance {
 		shared.observeSpread(innovation + deviation.mean)
 	}
 	shared.correct(innovation, variance)
 	deviation.correct(innovation, variance)
 }
 
+// addedLoad returns the load that filling work is expected to add to serving tasks of
+// an image, and the variance that it has by those of the coefficients.
+func (e *Estimator) addedLoad(serving string, fillings []Filling) (load, variance float64) {
+	for _, f := range fillings {
+		pair := e.estimateOf(imagePair{serving, f.Image})
+		load += pair.mean * f.Share
+		variance += pair.variance * f.Share * f.Share
+	}
+	return load, variance
+}
+
+// correctPair corrects the coefficient of a pair by its share of the difference
+// between a measured and the expected load, whose variance is given.
+func (e *Estimator) correctPair(key imagePair, share, innovation, variance float64) {
+	pair, ok := e.pairs[key]
+	if !ok && len(e.pairs) >= maxPairs || share < minFillingShare {
+		return
+	}
+	if !ok {
+		pair.estimate = e.estimateOf(key)
+	}
+	gain := pair.variance * share / variance
+	pair.mean = min(max(pair.mean+gain*innovation, 0), maxInterference)
+	pair.variance = pair.variance*(1-gain*share) + interferenceDriftVariance
+	if pair.publish(e.version + 1) {
+		e.version++
+	}
+	e.setPair(key, pair)
+}
+
 // Pairs returns the estimates for all serving images for which include returns
 // true, sorted by serving and filling image.
 func (e *Estimator) Pairs(include func(serving string) bool) []cowslipbend.ImagePair {
--- a/estimator/load.go
+++ b/estimator/load.go
@@ -83,7 +83,8 @@
 	g.levelVariance *= 1 - levelGain
 }
 
-// observeSpread records the difference between the load on a host and the level.
+// observeSpread records the difference between the load on a host, without what
+// filling work adds, and the level.
 func (g *groupLoad) observeSpread(difference float64) {
 	excess := max(difference*difference-noiseVariance-g.levelVariance, 0)
 	g.spread = min(max(g.spread+spreadWeight*(excess-g.spread), minSpread), baseLoadVariance)
