--- a/stand/comparer/comparer.go
+++ b/stand/comparer/comparer.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -41,10 +42,11 @@
 	if p.Old.Name == "" || p.New.Name == "" || p.Old.Name == p.New.Name {
 		l.Add(cowslipbend.Invalid("--old, --new", "need two different names", "give NAME=DIR for each"))
 	}
-	for _, path := range append([]string{p.Bench, p.Old.Dir, p.New.Dir}, p.Sites...) {
-		if _, err := os.Stat(path); err != nil {
-			l.Add(cowslipbend.Invalid("path", fmt.Sprintf("%q cannot be read", path), "give the bench, the source trees and the site files by absolute paths"))
-		}
+	checkPath(&l, "--bench", p.Bench)
+	checkPath(&l, "--old", p.Old.Dir)
+	checkPath(&l, "--new", p.New.Dir)
+	for _, site := range p.Sites {
+		checkPath(&l, "--site", site)
 	}
 	if len(p.Sites) == 0 || len(p.Days) == 0 || p.Seeds < 1 || p.Concurrent < 1 {
 		l.Add(cowslipbend.Invalid("plan", "has nothing to play", "give at least one site, day, seed and concurrent play"))
@@ -52,6 +54,14 @@
 	return l.Err()
 }
 
+// checkPath adds a fault unless the path is absolute and something is there: the bench
+// runs in the source trees.
+func checkPath(l *cowslipbend.Errors, flag, path string) {
+	if _, err := os.Stat(path); err != nil || !filepath.IsAbs(path) {
+		l.Add(cowslipbend.Invalid(flag, fmt.Sprintf("%q is not an absolute path to something that can be read", path), "give the whole path"))
+	}
+}
+
 // Run plays what the file of results lacks, and returns all results of the plan. Plays
 // that fail are joined in the error; the others stand in the file.
 func Run(ctx context.Context, p Plan) ([]Pair, error) {
--- a/stand/comparer/summary.go
+++ b/stand/comparer/summary.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 
+	"gonum.org/v1/gonum/stat/distuv"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
@@ -30,11 +31,17 @@
 // Mean returns the mean difference.
 func (d Difference) Mean() float64 { return d.New - d.Old }
 
-// minShown is the number of standard errors from which a difference is shown.
-const minShown = 2
+// confidence is the level of the interval that must leave out zero.
+const confidence = 0.95
 
-// Shown reports whether the interval of two standard errors leaves out zero.
-func (d Difference) Shown() bool { return d.Pairs > 1 && math.Abs(d.Mean()) > minShown*d.Error }
+// Shown reports whether the confidence interval of the mean leaves out zero.
+func (d Difference) Shown() bool {
+	if d.Pairs < 2 {
+		return false
+	}
+	t := distuv.StudentsT{Sigma: 1, Nu: float64(d.Pairs - 1)}
+	return math.Abs(d.Mean()) > t.Quantile((1+confidence)/2)*d.Error
+}
 
 // String formats the difference with the verdict.
 func (d Difference) String() string {
