--- a/conductor/estimates.go
+++ b/conductor/estimates.go
@@ -12,10 +12,12 @@
 // estimatesRow is a row with estimates that owners learn and pass on.
 type estimatesRow struct {
 	key string
-	// what names the estimates in the log, and counted what they are counted by.
-	what, counted string
-	restore       func(*planner.Planner, []byte) (int, error)
-	take          func(*planner.Planner) ([]byte, error)
+	// name is that of the estimates in the log, and unit what they are counted by.
+	name, unit string
+	// restore adds the estimates of a row to those of a planner and returns their
+	// number; take returns the row, or nil if nothing has changed since its last call.
+	restore func(*planner.Planner, []byte) (int, error)
+	take    func(*planner.Planner) ([]byte, error)
 }
 
 // estimatesRows lists the rows with estimates.
@@ -34,10 +36,10 @@
 		}
 		n, err := row.restore(c.planner, value)
 		if err != nil {
-			c.log.Warn("conductor ignored the "+row.what+", which are invalid", "row", row.key, "error", err)
+			c.log.Warn("conductor ignored the "+row.name+", which are invalid", "row", row.key, "error", err)
 			continue
 		}
-		c.log.Info("conductor restored the "+row.what, row.counted, n)
+		c.log.Info("conductor restored the "+row.name, row.unit, n)
 	}
 }
 
@@ -51,7 +53,7 @@
 		}
 		value, err := row.take(c.planner)
 		if err != nil {
-			c.log.Warn(row.what+" do not encode", "error", err)
+			c.log.Warn(row.name+" do not encode", "error", err)
 		}
 		if value == nil {
 			continue
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -89,7 +89,9 @@
 
 // Sample is the state of one host at one time.
 type Sample struct {
-	Host    string
+	Host string
+	// At is when it was measured. Samples that are older than the last one of a group
+	// count as if they were as new.
 	At      cowslipbend.Time
 	Serving []Serving
 	Filling []Filling
@@ -130,10 +132,10 @@
 	fillings map[string][]string
 	// minTails holds the lowest tail measured of each serving image.
 	minTails map[string]float64
-	// groupLoads holds the base load of each group, hostLoads the deviations from
-	// it of the groups in the last sample of each host.
+	// groupLoads holds the base load of each group. deviations holds, by host, how the
+	// groups in its last sample deviate from it.
 	groupLoads map[servingGroup]groupLoad
-	hostLoads  map[string]map[servingGroup]hostLoad
+	deviations map[string]map[servingGroup]hostDeviation
 	version    int64
 }
 
@@ -141,7 +143,7 @@
 func New() *Estimator {
 	return &Estimator{
 		pairs: map[imagePair]pairEstimate{}, fillings: map[string][]string{}, minTails: map[string]float64{},
-		groupLoads: map[servingGroup]groupLoad{}, hostLoads: map[string]map[servingGroup]hostLoad{},
+		groupLoads: map[servingGroup]groupLoad{}, deviations: map[string]map[servingGroup]hostDeviation{},
 	}
 }
 
@@ -206,7 +208,7 @@
 			e.minTails[t.Image] = min(e.minTail(t.Image, t.Target), t.Tail)
 		}
 	}
-	previous, current := e.hostLoads[s.Host], map[servingGroup]hostLoad{}
+	previous, current := e.deviations[s.Host], map[servingGroup]hostDeviation{}
 	for g, load := range e.meanLoads(s) {
 		shared, known := e.groupLoads[g]
 		if !known {
@@ -214,14 +216,14 @@
 		}
 		deviation, ok := previous[g]
 		if !ok {
-			deviation = hostLoad{estimate: estimate{variance: shared.spread}, at: s.At}
+			deviation = hostDeviation{estimate: estimate{variance: shared.spread}, at: s.At}
 		}
 		shared.advance(s.At)
 		deviation.advance(s.At, shared.spread)
 		e.update(g.image, load, &shared, &deviation, s.Filling)
 		e.groupLoads[g], current[g] = shared, deviation
 	}
-	e.hostLoads[s.Host] = current
+	e.deviations[s.Host] = current
 	for g := range previous {
 		if _, ok := current[g]; !ok {
 			e.forgetGroup(g)
@@ -234,7 +236,7 @@
 // the host had none of them.
 func (e *Estimator) BaseLoad(host, image string, at cowslipbend.Time) float64 {
 	largest, found := 0.0, false
-	for g, deviation := range e.hostLoads[host] {
+	for g, deviation := range e.deviations[host] {
 		if g.image == image {
 			shared := e.groupLoads[g]
 			shared.advance(at)
@@ -249,8 +251,8 @@
 
 // ForgetHost drops the base loads of a host.
 func (e *Estimator) ForgetHost(host string) {
-	groups := e.hostLoads[host]
-	delete(e.hostLoads, host)
+	groups := e.deviations[host]
+	delete(e.deviations, host)
 	for g := range groups {
 		e.forgetGroup(g)
 	}
@@ -258,7 +260,7 @@
 
 // forgetGroup drops the load of a group that no host has any more.
 func (e *Estimator) forgetGroup(g servingGroup) {
-	for _, groups := range e.hostLoads {
+	for _, groups := range e.deviations {
 		if _, ok := groups[g]; ok {
 			return
 		}
@@ -286,7 +288,7 @@
 // update distributes the difference between a measured and the expected load
 // among the interference coefficients of the filling images, the group's base load
 // and its deviation on the host.
-func (e *Estimator) update(serving string, load float64, shared *groupLoad, deviation *hostLoad, fillings []Filling) {
+func (e *Estimator) update(serving string, load float64, shared *groupLoad, deviation *hostDeviation, fillings []Filling) {
 	added, addedVariance := e.addedLoad(serving, fillings)
 	expected := shared.level + deviation.mean + added
 	if load >= maxMeasurableLoad && expected >= maxMeasurableLoad {
--- a/estimator/load.go
+++ b/estimator/load.go
@@ -90,14 +90,14 @@
 	g.spread = min(max(g.spread+spreadWeight*(excess-g.spread), minSpread), baseLoadVariance)
 }
 
-// hostLoad is the deviation of the base load of a group on one host.
-type hostLoad struct {
+// hostDeviation is the deviation of the base load of a group on one host.
+type hostDeviation struct {
 	estimate
 	at cowslipbend.Time
 }
 
 // advance has the deviation revert towards zero.
-func (h *hostLoad) advance(to cowslipbend.Time, spread float64) {
+func (h *hostDeviation) advance(to cowslipbend.Time, spread float64) {
 	elapsed := seconds(to.Sub(h.at))
 	if elapsed <= 0 {
 		return
@@ -109,7 +109,7 @@
 }
 
 // correct corrects the deviation as groupLoad.correct does.
-func (h *hostLoad) correct(innovation, variance float64) {
+func (h *hostDeviation) correct(innovation, variance float64) {
 	gain := h.variance / variance
 	h.mean += gain * innovation
 	h.variance *= 1 - gain
--- a/planner/played_fill_test.go
+++ b/planner/played_fill_test.go
@@ -14,10 +14,10 @@
 	"cowslipbend.dev/pacer"
 )
 
-// desk plays hosts with serving tasks whose load swings, and filling tasks that
+// fillLoad plays hosts with serving tasks whose load swings, and filling tasks that
 // interfere with them: one image strongly with two of three serving images, the others
-// weakly. Each host has a pacer.
-type desk struct {
+// weakly. Each host has a pacer. The load is that of hosts that are nearly full.
+type fillLoad struct {
 	*pool
 	pacers map[string]*pacer.Pacer
 	models map[string]*estimator.Estimator
@@ -34,19 +34,19 @@
 }
 
 const (
-	deskTick   = 50 * cowslipbend.Millisecond
-	deskReport = 500 * cowslipbend.Millisecond
-	deskLength = 2 * cowslipbend.Second
-	// deskArrivals is the time between two filling flows, deskBound the time in which
+	fillTick   = 50 * cowslipbend.Millisecond
+	fillReport = 500 * cowslipbend.Millisecond
+	fillLength = 2 * cowslipbend.Second
+	// fillArrivals is the time between two filling flows, fillBound the time in which
 	// one is due.
-	deskArrivals = 500 * cowslipbend.Millisecond
-	deskBound    = 2*deskLength + cowslipbend.Second
-	// deskTarget is the highest tail latency of a serving task.
-	deskTarget = 50 * cowslipbend.Millisecond
+	fillArrivals = 500 * cowslipbend.Millisecond
+	fillBound    = 2*fillLength + cowslipbend.Second
+	// fillTarget is the highest tail latency of a serving task.
+	fillTarget = 50 * cowslipbend.Millisecond
 )
 
-func newDesk(t *testing.T) *desk {
-	d := &desk{
+func newFillLoad(t *testing.T) *fillLoad {
+	d := &fillLoad{
 		pool: newPool(t, 8), pacers: map[string]*pacer.Pacer{}, models: map[string]*estimator.Estimator{}, pace: map[cowslipbend.RunRef]int{},
 		worked: map[cowslipbend.RunRef]cowslipbend.Span{}, loads: map[cowslipbend.RunRef]float64{}, flows: map[cowslipbend.JobID]*cowslipbend.Flow{},
 		inTime: map[cowslipbend.JobID]bool{},
@@ -59,20 +59,20 @@
 	}
 	for i := range 6 {
 		s := step(5, 3)
-		s.Lasting, s.Image, s.TailTarget, s.MaxPerHost = true, fmt.Sprint("serving", i%3), deskTarget, 2
+		s.Lasting, s.Image, s.TailTarget, s.MaxPerHost = true, fmt.Sprint("serving", i%3), fillTarget, 2
 		d.submit(flow(fmt.Sprint("serving", i), s))
 	}
 	return d
 }
 
-func (d *desk) submit(f *cowslipbend.Flow) {
+func (d *fillLoad) submit(f *cowslipbend.Flow) {
 	f.AcceptedAt, d.flows[f.ID] = d.now, f
 	d.plan.Submit(f)
 }
 
 // baseLoad returns the load of a serving flow without filling work. Flows swing with
 // the same period and different phases.
-func (d *desk) baseLoad(id cowslipbend.JobID) float64 {
+func (d *fillLoad) baseLoad(id cowslipbend.JobID) float64 {
 	phase := float64(id[len(id)-1])
 	return 0.45 * (1 + 0.5*math.Sin(2*math.Pi*float64(d.now)/14_000+2.4*phase))
 }
@@ -84,19 +84,19 @@
 	return 0.15
 }
 
-// play lets time pass, while a filling flow of eight tasks arrives every deskArrivals.
-func (d *desk) play(span cowslipbend.Span) {
+// play lets time pass, while a filling flow of eight tasks arrives every fillArrivals.
+func (d *fillLoad) play(span cowslipbend.Span) {
 	for end := d.now.Add(span); d.now < end; {
-		d.now = d.now.Add(deskTick)
-		if d.now%cowslipbend.Time(deskArrivals) == 0 {
+		d.now = d.now.Add(fillTick)
+		if d.now%cowslipbend.Time(fillArrivals) == 0 {
 			f := filling(8, 2)
-			f.Image, f.Length, f.Size.CPU, f.SavesCheckpoints = fmt.Sprint("filling", d.now/cowslipbend.Time(deskArrivals)%5), deskLength, 18*cowslipbend.Core/10, true
+			f.Image, f.Length, f.Size.CPU, f.SavesCheckpoints = fmt.Sprint("filling", d.now/cowslipbend.Time(fillArrivals)%5), fillLength, 18*cowslipbend.Core/10, true
 			d.submit(flow(fmt.Sprint("filling-", d.now), f))
 		}
 		for _, name := range slices.Sorted(maps.Keys(d.pool.reports)) {
 			r := d.pool.reports[name]
 			d.work(name, r)
-			if d.now%cowslipbend.Time(deskReport) == 0 {
+			if d.now%cowslipbend.Time(fillReport) == 0 {
 				d.sample(name, r)
 			}
 		}
@@ -112,18 +112,18 @@
 	}
 }
 
-func (d *desk) stepOf(ref cowslipbend.RunRef) *cowslipbend.Step {
+func (d *fillLoad) stepOf(ref cowslipbend.RunRef) *cowslipbend.Step {
 	return &d.flows[ref.Task.Job].Steps[0]
 }
 
 // work lets the runs of a host work for a tick, and ends those that are done.
-func (d *desk) work(name string, r *cowslipbend.HostReport) {
+func (d *fillLoad) work(name string, r *cowslipbend.HostReport) {
 	var done []cowslipbend.RunRef
 	for _, run := range r.Running {
 		s := d.stepOf(run.RunRef)
 		if s.Fills {
-			d.worked[run.RunRef] += deskTick * cowslipbend.Span(d.pace[run.RunRef]) / 100
-			if d.worked[run.RunRef] >= deskLength {
+			d.worked[run.RunRef] += fillTick * cowslipbend.Span(d.pace[run.RunRef]) / 100
+			if d.worked[run.RunRef] >= fillLength {
 				done = append(done, run.RunRef)
 			}
 			continue
@@ -134,19 +134,19 @@
 				load += interference(s.Image, f.Image) * float64(f.Size.CPU) / float64(r.Host.Size.CPU) * float64(d.pace[other.RunRef]) / 100
 			}
 		}
-		d.loads[run.RunRef] += load * float64(deskTick) / float64(deskReport)
+		d.loads[run.RunRef] += load * float64(fillTick) / float64(fillReport)
 	}
 	for _, ref := range done {
 		d.endRun(name, ref, cowslipbend.EndDone)
 		f := d.flows[ref.Task.Job]
-		if state, _ := d.plan.State(f.ID); state == cowslipbend.FlowDone && d.now.Sub(f.AcceptedAt) <= deskBound {
+		if state, _ := d.plan.State(f.ID); state == cowslipbend.FlowDone && d.now.Sub(f.AcceptedAt) <= fillBound {
 			d.inTime[f.ID] = true
 		}
 	}
 }
 
 // sample reports what the host measured and sets the paces.
-func (d *desk) sample(name string, r *cowslipbend.HostReport) {
+func (d *fillLoad) sample(name string, r *cowslipbend.HostReport) {
 	var serving []estimator.Serving
 	var runs []pacer.Run
 	hostCPU := float64(r.Host.Size.CPU)
@@ -154,7 +154,7 @@
 		state := &r.Running[i]
 		s, pace := d.stepOf(state.RunRef), d.pace[state.RunRef]
 		if s.Fills {
-			state.TailOrCPU, state.Percent = int64(s.Size.CPU)*int64(pace)/100, int(100*d.worked[state.RunRef]/deskLength)
+			state.TailOrCPU, state.Percent = int64(s.Size.CPU)*int64(pace)/100, int(100*d.worked[state.RunRef]/fillLength)
 			share := float64(s.Size.CPU) / hostCPU
 			runs = append(runs, pacer.Run{Ref: state.RunRef, Image: s.Image, RequestedShare: share, UsedShare: share * float64(pace) / 100, Pace: pace})
 			continue
@@ -162,10 +162,10 @@
 		state.TailOrCPU, state.Percent = int64(math.Round(10/(1-min(d.loads[state.RunRef], 0.98)))), 100
 		delete(d.loads, state.RunRef)
 		d.reports++
-		if state.TailOrCPU > int64(deskTarget) {
+		if state.TailOrCPU > int64(fillTarget) {
 			d.over++
 		}
-		serving = append(serving, estimator.Serving{Image: s.Image, Group: string(state.Task.Job), Tail: float64(state.TailOrCPU), Target: float64(deskTarget)})
+		serving = append(serving, estimator.Serving{Image: s.Image, Group: string(state.Task.Job), Tail: float64(state.TailOrCPU), Target: float64(fillTarget)})
 	}
 	d.models[name].UpdatePairs(d.report(name).Pairs)
 	for ref, pace := range d.pacers[name].Decide(d.now, serving, runs) {
@@ -175,11 +175,11 @@
 
 // assertServed asserts the share of the filling flows that met their target, of those
 // that had the time for it, and that of the serving tasks' time over their target.
-func (d *desk) assertServed(minInTime, maxOver float64) {
+func (d *fillLoad) assertServed(minInTime, maxOver float64) {
 	d.t.Helper()
 	due, met := 0, 0
 	for id, f := range d.flows {
-		if f.Steps[0].Fills && d.now.Sub(f.AcceptedAt) >= deskBound {
+		if f.Steps[0].Fills && d.now.Sub(f.AcceptedAt) >= fillBound {
 			due++
 			if d.inTime[id] {
 				met++
@@ -196,7 +196,7 @@
 // owner that lets strongly interfering tasks disturb all hosts before it knows them.
 func TestPlayedFilling(t *testing.T) {
 	const minInTime, maxOver = 0.75, 0.05
-	known := newDesk(t)
+	known := newFillLoad(t)
 	t.Run("callers and serving tasks are served while images become known", func(t *testing.T) {
 		known.t = t
 		known.play(40 * cowslipbend.Second)
@@ -205,7 +205,7 @@
 	t.Run("they are after a loss of power", func(t *testing.T) {
 		row, err := known.plan.TakeInterference()
 		assert.NilError(t, err)
-		d := newDesk(t)
+		d := newFillLoad(t)
 		_, err = d.plan.RestoreInterference(row)
 		assert.NilError(t, err)
 		d.play(10 * cowslipbend.Second)
