--- a/conductor/estimates_test.go
+++ b/conductor/estimates_test.go
@@ -150,8 +150,10 @@
 	})
 	t.Run("an invalid row is logged and ignored", func(t *testing.T) {
 		for _, invalid := range []struct{ row, value, message string }{
-			{"~lengths", "{", "ignored the learned lengths"}, {"~lengths", `[{"w":-1}]`, "ignored the learned lengths"},
-			{"~interference", "[]", "ignored the interference estimates"}, {"~interference", `{"pairs":[{"v":-1}]}`, "ignored the interference estimates"},
+			{"~lengths", "{", "ignored the learned lengths"},
+			{"~lengths", `[{"w":-1}]`, "ignored the learned lengths"},
+			{"~interference", "[]", "ignored the interference estimates"},
+			{"~interference", `{"pairs":[{"v":-1}]}`, "ignored the interference estimates"},
 		} {
 			table := &keeper.Table{}
 			_, err := table.Commit(t.Context(), cowslipbend.Txn{Puts: put(invalid.row, invalid.value)})
--- a/stand/comparer/comparer.go
+++ b/stand/comparer/comparer.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, cowslipbend.Failf(cowslipbend.KindInvalid, err, "give a file that can be written as --out", "results cannot be written")
 	}
-	defer out.Close()
+	defer func() { _ = out.Close() }()
 	var mu sync.Mutex
 	var failures []error
 	g := errgroup.Group{}
@@ -165,7 +165,7 @@
 	if err != nil {
 		return nil, cowslipbend.Failf(cowslipbend.KindInvalid, err, "give a file that can be read as --out", "results cannot be read")
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	lines := bufio.NewScanner(file)
 	for number := 1; lines.Scan(); number++ {
 		var r Result
--- a/stand/comparer/play.go
+++ b/stand/comparer/play.go
@@ -53,7 +53,7 @@
 // run plays a day in the directory of a build.
 func run(ctx context.Context, bench, dir string, p Play) (Result, error) {
 	file := filepath.Join(os.TempDir(), strings.ReplaceAll("compare "+p.String(), string(filepath.Separator), "_")+".json")
-	defer os.Remove(file)
+	defer func() { _ = os.Remove(file) }()
 	cmd := exec.CommandContext(ctx, bench, "run", p.Site, p.Day, "--seed", strconv.FormatUint(p.Seed, 10), "--no-cpu", "--why", "trial: comparison, build "+p.Build, "--report", file)
 	cmd.Dir = dir
 	output, err := cmd.CombinedOutput()
