--- a/stand/comparer/comparer.go
+++ b/stand/comparer/comparer.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -77,14 +78,15 @@
 		return nil, cowslipbend.Failf(cowslipbend.KindInvalid, err, "give a file that can be written as --out", "results cannot be written")
 	}
 	defer func() { _ = out.Close() }()
-	var mu sync.Mutex
+	var mu sync.Mutex // of known, failures and the output
 	var failures []error
 	g := errgroup.Group{}
 	g.SetLimit(p.Concurrent)
-	for _, play := range p.plays() {
-		if _, ok := known[play]; ok {
-			continue
-		}
+	missing := slices.DeleteFunc(p.plays(), func(play Play) bool {
+		_, ok := known[play]
+		return ok
+	})
+	for _, play := range missing {
 		g.Go(func() error {
 			if ctx.Err() != nil {
 				return nil
