estimator, predictor: rows of estimates stay below the size that the store takes

Found by reading the diff: the names of images are the callers', of any length, and a row of estimates was bounded by its number of entries only. A row above the store's limit of 64 kB would have had every commit of every owner refused. The row of lengths cuts names to 64 bytes, but control characters and brackets take six bytes each in JSON: 256 of them were 100 kB. Never seen in operation.

--- a/estimator/row.go
+++ b/estimator/row.go
@@ -10,9 +10,11 @@
 
 // Limits of the stored estimates.
 const (
-	// maxRowPairs bounds the pairs in a row, those that are known best. Such a row has
-	// about 30 kB.
+	// maxRowPairs bounds the pairs in a row, those that are known best.
 	maxRowPairs = 512
+	// maxRowSize bounds a row, as callers choose the names of images and the store
+	// refuses a commit with a row that is too large.
+	maxRowSize = 48 * cowslipbend.KB
 	// maxRowTails bounds the tails in a row.
 	maxRowTails = 128
 	// maxRowVariance bounds a variance.
@@ -42,11 +44,8 @@
 }
 
 // EncodeRow returns the estimates of pairs and the lowest tails for the store, or nil
-// if no pair has been observed.
+// if there is no pair that fits into a row.
 func (e *Estimator) EncodeRow() ([]byte, error) {
-	if len(e.pairs) == 0 {
-		return nil, nil
-	}
 	var row storedRow
 	for key, pair := range e.pairs {
 		rounded := pair.rounded()
@@ -55,13 +54,18 @@
 	slices.SortFunc(row.Pairs, func(a, b storedPair) int {
 		return cmp.Or(cmp.Compare(a.Variance, b.Variance), cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Filling, b.Filling))
 	})
-	row.Pairs = row.Pairs[:min(len(row.Pairs), maxRowPairs)]
 	for image, tail := range e.minTails {
 		row.Tails = append(row.Tails, storedTail{image, tail})
 	}
 	slices.SortFunc(row.Tails, func(a, b storedTail) int { return cmp.Compare(a.Image, b.Image) })
-	row.Tails = row.Tails[:min(len(row.Tails), maxRowTails)]
-	return json.Marshal(row)
+	for count := min(len(row.Pairs), maxRowPairs); count > 0; count /= 2 {
+		row.Pairs, row.Tails = row.Pairs[:count], row.Tails[:min(len(row.Tails), maxRowTails, count)]
+		data, err := json.Marshal(row)
+		if err != nil || cowslipbend.Bytes(len(data)) <= maxRowSize {
+			return data, err
+		}
+	}
+	return nil, nil
 }
 
 // RestoreRow adds the estimates of a row that EncodeRow has written, and returns the
--- a/estimator/row_test.go
+++ b/estimator/row_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -45,13 +46,26 @@
 			many.UpdatePairs([]cowslipbend.ImagePair{{Serving: fmt.Sprint("serving", i), Filling: "f", Interference: 1, Variance: float64(1+i) / 3000}})
 		}
 		data := encode(t, many)
-		assert.Assert(t, len(data) < 64<<10, "%d bytes", len(data))
+		assert.Assert(t, len(data) <= 48<<10, "%d bytes", len(data))
 		restored := estimator.New()
 		n, err := restored.RestoreRow(data)
 		assert.NilError(t, err)
 		assert.Equal(t, n, 512)
 		assert.Equal(t, restored.Interference("serving0", "f"), 1.0)
 	})
+	t.Run("long names of images don't make a row larger than the store takes", func(t *testing.T) {
+		long := estimator.New()
+		for i := range 100 {
+			long.UpdatePairs([]cowslipbend.ImagePair{{Serving: strings.Repeat("\x01", 400), Filling: fmt.Sprint("f", i), Interference: 1, Variance: 1}})
+		}
+		assert.Assert(t, len(encode(t, long)) <= 48<<10, "%d bytes", len(encode(t, long)))
+		n, err := estimator.New().RestoreRow(encode(t, long))
+		assert.NilError(t, err)
+		assert.Assert(t, n > 0)
+		long = estimator.New()
+		long.UpdatePairs([]cowslipbend.ImagePair{{Serving: strings.Repeat("x", 64<<10), Filling: "f", Interference: 1, Variance: 1}})
+		assert.Assert(t, encode(t, long) == nil)
+	})
 	t.Run("an invalid row adds nothing", func(t *testing.T) {
 		for _, data := range []string{
 			"", "{", "[]", `{"pairs":[{"s":"a","f":"b","m":1,"v":1},{"s":"a","f":"c","m":-1,"v":1}]}`, `{"pairs":[{"s":"a","f":"b","m":1}]}`,
--- a/predictor/row.go
+++ b/predictor/row.go
@@ -14,6 +14,9 @@
 	// maxRowClasses bounds the classes in a row, those with the newest samples. Such
 	// a row has about 25 kB.
 	maxRowClasses = 256
+	// maxRowSize bounds a row, as callers choose the names of images and the store
+	// refuses a commit with a row that is too large.
+	maxRowSize = 48 * cowslipbend.KB
 	// maxVariance bounds a variance.
 	maxVariance = 100
 )
@@ -41,7 +44,12 @@
 		}
 		return strings.Compare(string(a.Queue)+"\x00"+a.Image, string(b.Queue)+"\x00"+b.Image)
 	})
-	return json.Marshal(rows[:min(len(rows), maxRowClasses)])
+	for count := min(len(rows), maxRowClasses); ; count /= 2 {
+		data, err := json.Marshal(rows[:count])
+		if err != nil || count == 0 || cowslipbend.Bytes(len(data)) <= maxRowSize {
+			return data, err
+		}
+	}
 }
 
 func (c *class) encode(key Class) ClassLength {
--- a/predictor/row_test.go
+++ b/predictor/row_test.go
@@ -1,6 +1,8 @@
 package predictor_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -41,6 +43,16 @@
 		assert.NilError(t, err)
 		assert.Equal(t, n, 256)
 	})
+	t.Run("names that are escaped don't make a row larger than the store takes", func(t *testing.T) {
+		many := predictor.New()
+		for i := range 256 {
+			many.Learn(predictor.ClassOf("q", fmt.Sprint(i, strings.Repeat("\x01", 64))), second, 2*second, 1, cowslipbend.Time(i))
+		}
+		assert.Assert(t, len(encode(t, many)) <= 48<<10, "%d bytes", len(encode(t, many)))
+		n, err := predictor.New().RestoreRow(encode(t, many), 3000)
+		assert.NilError(t, err)
+		assert.Assert(t, n > 0)
+	})
 	t.Run("an invalid row adds nothing", func(t *testing.T) {
 		for _, data := range []string{
 			"", "{", "{}", "[1]", `[{"q":"q","w":1,"l":8,"s":1,"d":1},{"q":"r","w":1,"l":8,"s":-1,"d":1}]`,
