--- a/estimator/row.go
+++ b/estimator/row.go
@@ -6,15 +6,13 @@
 	"slices"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/internal/fitter"
 )
 
 // Limits of the stored estimates.
 const (
 	// maxRowPairs bounds the pairs in a row, those that are known best.
 	maxRowPairs = 512
-	// maxRowSize bounds a row, as callers choose the names of images and the store
-	// refuses a commit with a row that is too large.
-	maxRowSize = 48 * cowslipbend.KB
 	// maxRowTails bounds the tails in a row.
 	maxRowTails = 128
 	// maxRowVariance bounds a variance.
@@ -58,14 +56,9 @@
 		row.Tails = append(row.Tails, storedTail{image, tail})
 	}
 	slices.SortFunc(row.Tails, func(a, b storedTail) int { return cmp.Compare(a.Image, b.Image) })
-	for count := min(len(row.Pairs), maxRowPairs); count > 0; count /= 2 {
-		row.Pairs, row.Tails = row.Pairs[:count], row.Tails[:min(len(row.Tails), maxRowTails, count)]
-		data, err := json.Marshal(row)
-		if err != nil || cowslipbend.Bytes(len(data)) <= maxRowSize {
-			return data, err
-		}
-	}
-	return nil, nil
+	return fitter.Encode(min(len(row.Pairs), maxRowPairs), func(count int) any {
+		return storedRow{row.Pairs[:count], row.Tails[:min(len(row.Tails), maxRowTails, count)]}
+	})
 }
 
 // RestoreRow adds the estimates of a row that EncodeRow has written, and returns the
--- a/predictor/row.go
+++ b/predictor/row.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/internal/fitter"
 )
 
 // Limits of the stored estimates.
@@ -14,9 +15,6 @@
 	// maxRowClasses bounds the classes in a row, those with the newest samples. Such
 	// a row has about 25 kB.
 	maxRowClasses = 256
-	// maxRowSize bounds a row, as callers choose the names of images and the store
-	// refuses a commit with a row that is too large.
-	maxRowSize = 48 * cowslipbend.KB
 	// maxVariance bounds a variance.
 	maxVariance = 100
 )
@@ -32,7 +30,7 @@
 	UpdatedAt cowslipbend.Time `json:"t"`
 }
 
-// EncodeRow returns the estimates of classes for the store.
+// EncodeRow returns the estimates of classes for the store, or nil if there are none.
 func (p *Predictor) EncodeRow() ([]byte, error) {
 	rows := make([]ClassLength, 0, len(p.classes))
 	for key, c := range p.classes {
@@ -44,12 +42,7 @@
 		}
 		return strings.Compare(string(a.Queue)+"\x00"+a.Image, string(b.Queue)+"\x00"+b.Image)
 	})
-	for count := min(len(rows), maxRowClasses); ; count /= 2 {
-		data, err := json.Marshal(rows[:count])
-		if err != nil || count == 0 || cowslipbend.Bytes(len(data)) <= maxRowSize {
-			return data, err
-		}
-	}
+	return fitter.Encode(min(len(rows), maxRowClasses), func(count int) any { return rows[:count] })
 }
 
 func (c *class) encode(key Class) ClassLength {
