intaker: a flow is not handed over again shortly before its caller's deadline

Cause: attempts go on each 100 ms until the deadline; the deadline cut short the call to the owner that was in progress, and a call without an answer may have stored the flow. Callers then got 504 instead of a refusal with a Retry-After.

Ruled out: a slow machine alone.

No call is begun in the last 200 ms; the entry's own attempts, which the store refuses for certain, go on until the deadline.

--- a/intaker/handover.go
+++ b/intaker/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/internal/caller"
@@ -13,6 +14,10 @@
 const (
 	// handOverTimeout bounds the wait for the answer of another entry.
 	handOverTimeout = 700 * cowslipbend.Millisecond
+	// handOverMargin is the time before its caller's deadline from which on a flow is
+	// not handed over again: a call that the deadline cuts short may have stored it, so
+	// that it could no longer be refused. It is many times the usual call.
+	handOverMargin = 200 * cowslipbend.Millisecond
 	// firstPeers is how many entries besides the owner are asked first.
 	firstPeers = 2
 	// allPeersDelay is the time without success after which all other entries
@@ -110,13 +115,19 @@
 // place the owner. KindDown means that the flow is not stored.
 func (i *Intaker) handOverToOwner(p *submission) error {
 	owner := i.owners.OwnerURL()
-	if p.handedOver || owner == "" || i.owners.Conductor() != nil {
+	if p.handedOver || owner == "" || i.owners.Conductor() != nil || endsWithin(p.ctx, handOverMargin) {
 		return i.unavailable(nil)
 	}
 	_, err := i.callPeers(p.ctx, p.flow, []string{owner})
 	return err
 }
 
+// endsWithin reports whether the deadline of the context is less than the span away.
+func endsWithin(ctx context.Context, span cowslipbend.Span) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && cowslipbend.SpanOf(time.Until(deadline)) < span
+}
+
 // orderPeers returns the peers in the order in which they are asked to store a
 // flow: the owner, which has recently reached the store, then from a place that
 // differs by flow, so that the load is spread.
--- a/intaker/intaker_test.go
+++ b/intaker/intaker_test.go
@@ -47,6 +47,8 @@
 	faults *keeper.Faults
 	owners *fakeOwners
 	url    string
+	// handler serves the calls of other entries.
+	handler http.Handler
 }
 
 func newTestEntry(t *testing.T, table *keeper.Table) *testEntry {
@@ -69,7 +71,7 @@
 	mux := http.NewServeMux()
 	e.Serve(mux)
 	srv := httptest.NewServer(mux)
-	e.url = srv.URL
+	e.url, e.handler = srv.URL, mux
 	t.Cleanup(func() {
 		srv.Close()
 		cancel()
@@ -189,6 +191,21 @@
 		assertKind(t, refused.Submit(contextFor(t, time.Second), flow("f")), cowslipbend.KindDown)
 		assertStored(t, table, "f", false)
 	})
+	t.Run("a flow is refused at its deadline if the owner is slow to refuse it too", func(t *testing.T) {
+		table := &keeper.Table{}
+		refused, owner := newTestEntry(t, table), newTestEntry(t, table)
+		refused.faults.SetDown(true)
+		owner.faults.SetDown(true)
+		slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(150 * time.Millisecond)
+			owner.handler.ServeHTTP(w, r)
+		}))
+		t.Cleanup(slow.Close)
+		refused.owners.ownerURL = slow.URL
+		// The fourth attempt begins 100 ms before the deadline.
+		assertKind(t, refused.Submit(contextFor(t, 850*time.Millisecond), flow("f")), cowslipbend.KindDown)
+		assertStored(t, table, "f", false)
+	})
 	t.Run("few of many entries are asked, the owner among them", func(t *testing.T) {
 		asked := make([]atomic.Int64, 20)
 		t.Cleanup(func() { // Once the entry has stopped, so that all calls are counted.
--- a/intaker/store.go
+++ b/intaker/store.go
@@ -331,7 +331,7 @@
 		}
 	}
 	unreachable, peers := i.owners.StoreUnreachable()
-	if !unreachable {
+	if !unreachable || endsWithin(p.ctx, handOverMargin) {
 		return false, nil
 	}
 	// An entry that reaches the store finds out whether the flow is stored, and
