elector: an owner whose calls the store refuses is replaced after 0.5 s

Load: the store turns away the entry that owns the flows and serves the others, for seconds.

Now the owner's health tells for how long the store has refused its calls at once. An entry that the store serves takes over after 0.5 s of it. Calls that wait in vain and rejections for overload don't count, as a slow store is slow for all entries; the age of the contact covers them as before.

A first form, which counted all failed calls, was tried and dropped: a slow store would have moved the flows from entry to entry.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -33,6 +33,9 @@
 	// least once a second. An entry that is cut off as well cannot replace the
 	// owner, as a takeover is a commit.
 	storeTimeout = 1400 * cowslipbend.Millisecond
+	// refusalTimeout is for how long the store may refuse the calls of the owner while
+	// it serves this entry: a few attempts of the owner.
+	refusalTimeout = 500 * cowslipbend.Millisecond
 	// takeoverStagger is the delay between the takeover attempts of entries of
 	// successive ranks.
 	takeoverStagger = 200 * cowslipbend.Millisecond
@@ -62,6 +65,8 @@
 	OwnedEpoch cowslipbend.Epoch `json:"conducts,omitempty"`
 	// StoreContactAge is the time since the store last answered the entry.
 	StoreContactAge cowslipbend.Span `json:"store"`
+	// RefusedFor is for how long the store has refused the calls of the entry at once.
+	RefusedFor cowslipbend.Span `json:"refused,omitempty"`
 	// Leaving is set once the entry is shutting down.
 	Leaving bool `json:"leaving,omitempty"`
 	// Yielding is set while the entry, as the owner, waits for a stronger one to
@@ -77,6 +82,9 @@
 	cowslipbend.Feed
 	// LastContact returns when the store last answered.
 	LastContact() cowslipbend.Time
+	// RefusedFor returns for how long the store has refused the calls of this entry at
+	// once, zero if it has served one since.
+	RefusedFor() cowslipbend.Span
 }
 
 // Caller calls other entries.
@@ -277,7 +285,7 @@
 func (e *Elector) Health() Health {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	h := Health{Life: e.self.Life, StoreContactAge: e.StoreContactAge(), Leaving: e.leaving, Yielding: e.yielding}
+	h := Health{Life: e.self.Life, StoreContactAge: e.StoreContactAge(), RefusedFor: e.store.RefusedFor(), Leaving: e.leaving, Yielding: e.yielding}
 	if e.conductor != nil {
 		h.OwnedEpoch = e.conductor.Epoch()
 		h.Backlog = e.conductor.Backlog()
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -28,6 +28,7 @@
 	mu          sync.Mutex
 	down        bool
 	refused     bool // commits only
+	refusedFor  cowslipbend.Span
 	lastContact cowslipbend.Time
 }
 
@@ -87,6 +88,18 @@
 	return s.lastContact
 }
 
+func (s *store) RefusedFor() cowslipbend.Span {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusedFor
+}
+
+func (s *store) setRefusedFor(span cowslipbend.Span) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusedFor = span
+}
+
 // entry is an elector that other entries can call.
 type entry struct {
 	*elector.Elector
@@ -163,6 +176,7 @@
 		{"an owner that has crashed is replaced", func(e *entry) { e.kill() }},
 		{"an owner that leaves is replaced", func(e *entry) { e.Leave() }},
 		{"an owner that cannot reach the store is replaced by an entry that can", func(e *entry) { e.store.setDown(true) }},
+		{"an owner whose calls the store refuses is replaced by an entry that it serves", func(e *entry) { e.store.setRefusedFor(800) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			table := &keeper.Table{}
@@ -175,6 +189,23 @@
 			waitFor(t, "the first entry stops its conductor", func() bool { return first.Conductor() == nil })
 		})
 	}
+	t.Run("an owner whose calls the store refuses for a moment stays", func(t *testing.T) {
+		table := &keeper.Table{}
+		first, second := waitForOwner(t, newEntry(t, table, "a"), newEntry(t, table, "b"))
+		first.store.setRefusedFor(400)
+		time.Sleep(time.Second) // Several health checks.
+		assert.Assert(t, first.Conductor() != nil)
+		assert.Assert(t, second.Conductor() == nil)
+	})
+	t.Run("an owner is not replaced by an entry whose calls the store refuses as well", func(t *testing.T) {
+		table := &keeper.Table{}
+		first, second := waitForOwner(t, newEntry(t, table, "a"), newEntry(t, table, "b"))
+		second.store.setRefusedFor(800)
+		first.store.setRefusedFor(800)
+		time.Sleep(time.Second) // Several health checks.
+		assert.Assert(t, first.Conductor() != nil)
+		assert.Assert(t, second.Conductor() == nil)
+	})
 	t.Run("no entry takes over while the store is down for all", func(t *testing.T) {
 		table := &keeper.Table{}
 		first, second := waitForOwner(t, newEntry(t, table, "a"), newEntry(t, table, "b"))
--- a/elector/takeover.go
+++ b/elector/takeover.go
@@ -49,6 +49,8 @@
 		return "owner is leaving"
 	case h.StoreContactAge > storeTimeout:
 		return "owner cannot reach the store"
+	case h.RefusedFor > refusalTimeout && e.store.RefusedFor() == 0 && e.StoreContactAge() < h.RefusedFor:
+		return "store serves this entry but not the owner"
 	case h.OwnedEpoch < owner.Epoch && now.Sub(e.ownerFoundAt) > failureTimeout:
 		return "owner runs no conductor"
 	case h.Yielding && e.supersedesOwner(owner.URL):
--- a/internal/keeper/table.go
+++ b/internal/keeper/table.go
@@ -148,6 +148,9 @@
 // always replies.
 func (*Table) LastContact() cowslipbend.Time { return timer.Host{}.Now() }
 
+// RefusedFor returns zero, as the table serves all calls.
+func (*Table) RefusedFor() cowslipbend.Span { return 0 }
+
 // ForgetChanges drops the changes so far, so that Changes returns KindStale for
 // earlier versions.
 func (t *Table) ForgetChanges() {
