explainer, cowslip: explain tells where the time of each step of a flow went

An on-call engineer had to subtract the times of start ordered and run ended by hand to tell queueing from slow runs. cowslip explain now ends with a table of the steps: wait until the first start, until the first start of the last task, until the end, repeated starts, and the reasons that the owner named.

--- a/cowslip/explain.go
+++ b/cowslip/explain.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"sort"
@@ -20,7 +22,10 @@
 		Usage: "show the timeline of a flow from the logs of entries and agents",
 		Description: "Reads the JSON lines of all processes from files, or from standard input if\n" +
 			"none or - is given. Text before a JSON object is skipped; its last word\n" +
-			"names the process. Times are milliseconds since the first line.",
+			"names the process. Times are milliseconds since the first line.\n" +
+			"A table of the steps follows: WAIT is the time from when the step was ready until\n" +
+			"its first start, SPREAD until the first start of its last task, FINISH until its\n" +
+			"end (+ if not all ends are in the logs); REASONS are what the owner waited for.",
 		Flags:  []cli.Flag{jsonFlag()},
 		Action: explain,
 	}
@@ -48,12 +53,32 @@
 		return err
 	}
 	fmt.Fprintln(out, summary(timeline))
+	if err := writeSteps(out, timeline.Steps); err != nil {
+		return err
+	}
 	if timeline.DroppedLines > 0 {
 		fmt.Fprintf(out, "the processes dropped %d log lines, so that some may be missing here\n", timeline.DroppedLines)
 	}
 	return nil
 }
 
+// writeSteps writes where the time of each step went.
+func writeSteps(out io.Writer, steps []explainer.Step) error {
+	if len(steps) == 0 {
+		return nil
+	}
+	t := newTable(out, "ROUND/STEP", "WAIT", "SPREAD", "FINISH", "REPEATS", "REASONS")
+	for i := range steps {
+		s := &steps[i]
+		finish := s.Finish.String()
+		if s.Open {
+			finish += "+"
+		}
+		t.row(fmt.Sprintf("%d/%d", s.Round, s.Step), s.Wait.String(), s.Spread.String(), finish, fmt.Sprint(s.Repeats), cmp.Or(strings.Join(s.Reasons, ","), "-"))
+	}
+	return t.flush()
+}
+
 // readLogs reads the files, or standard input if there are none.
 func readLogs(c *cli.Command, id string, files []string) (*explainer.Timeline, error) {
 	e := explainer.New(cowslipbend.JobID(id))
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -41,6 +41,8 @@
 type Timeline struct {
 	Flow   cowslipbend.JobID `json:"flow"`
 	Events []Event           `json:"events"`
+	// Steps tells where the time of each step went, in the order of their first starts.
+	Steps []Step `json:"steps,omitempty"`
 	// Counts holds the number of events per message and outcome.
 	Counts map[string]int `json:"counts"`
 	// InvalidLines is the number of lines that do not decode as log lines.
@@ -211,6 +213,7 @@
 		}
 	}
 	sortByTime(timeline.Events)
+	timeline.Steps = splitSteps(timeline.Events)
 	for _, ev := range timeline.Events {
 		timeline.Counts[label(ev)]++
 	}
