--- a/elector/takeover.go
+++ b/elector/takeover.go
@@ -49,7 +49,7 @@
 		return "owner is leaving"
 	case h.StoreContactAge > storeTimeout:
 		return "owner cannot reach the store"
-	case h.RefusedFor > refusalTimeout && e.store.RefusedFor() == 0 && e.StoreContactAge() < h.RefusedFor:
+	case h.RefusedFor > refusalTimeout && e.isServedSince(h.RefusedFor):
 		return "store serves this entry but not the owner"
 	case h.OwnedEpoch < owner.Epoch && now.Sub(e.ownerFoundAt) > failureTimeout:
 		return "owner runs no conductor"
@@ -59,6 +59,12 @@
 	return ""
 }
 
+// isServedSince reports whether the store has served this entry within the span and not
+// refused it since.
+func (e *Elector) isServedSince(span cowslipbend.Span) bool {
+	return e.store.RefusedFor() == 0 && e.StoreContactAge() < span
+}
+
 // takeOver takes over the flows from an owner that has to be replaced. It returns
 // nil if that fails. If there is a later owner by now, it is recorded instead: the
 // reason may be as old as this process was paused, and is not about that owner.
--- a/explainer/step.go
+++ b/explainer/step.go
@@ -29,30 +29,27 @@
 	Open bool `json:"open,omitempty"`
 }
 
+// stepID names a step within its flow.
+type stepID struct{ round, step int }
+
 // stepTimes holds the moments of one step.
 type stepTimes struct {
-	round, step int
+	id stepID
 	// started and done hold the first start and the last end by task.
 	started, done map[int]time.Time
 	starts        int
 	reasons       []string
 }
 
+// stepTable holds the moments of the steps of a flow.
+type stepTable map[stepID]*stepTimes
+
 // splitSteps returns where the time of the steps went, in the order of their first
 // starts. Events are in the order of time. The logs don't name the steps on which
 // another depends: a step counts as ready once those that ended before its first start
 // had ended.
 func splitSteps(events []Event) []Step {
-	steps := map[[2]int]*stepTimes{}
-	stepOf := func(round, step int) *stepTimes {
-		s := steps[[2]int{round, step}]
-		if s == nil {
-			s = &stepTimes{round: round, step: step, started: map[int]time.Time{}, done: map[int]time.Time{}}
-			steps[[2]int{round, step}] = s
-		}
-		return s
-	}
-	accepted := events[0].At
+	steps, accepted := stepTable{}, events[0].At
 	for i := range events {
 		ev := &events[i]
 		switch ev.Message {
@@ -61,26 +58,22 @@
 				accepted = ev.At
 			}
 		case "start ordered", "start", "run ended":
-			var round, step, index int
-			if _, err := fmt.Sscanf(ev.Fields["task"], "%d/%d/%d", &round, &step, &index); err != nil {
-				continue
-			}
-			stepOf(round, step).add(ev, index)
+			steps.addRun(ev)
 		case "flow waits":
-			var round, step int
-			if _, err := fmt.Sscan(ev.Fields["round"]+" "+ev.Fields["step"], &round, &step); err != nil {
-				continue
-			}
-			s := stepOf(round, step)
-			if reason := ev.Fields["reason"]; reason != "" && !slices.Contains(s.reasons, reason) {
-				s.reasons = append(s.reasons, reason)
-			}
+			steps.addReason(ev)
 		}
 	}
 	return orderSteps(steps, accepted)
 }
 
-func (s *stepTimes) add(ev *Event, index int) {
+// addRun adds the start or the end of a run.
+func (t stepTable) addRun(ev *Event) {
+	var id stepID
+	var index int
+	if _, err := fmt.Sscanf(ev.Fields["task"], "%d/%d/%d", &id.round, &id.step, &index); err != nil {
+		return
+	}
+	s := t.step(id)
 	switch {
 	case ev.Message != "run ended":
 		s.starts++
@@ -92,8 +85,29 @@
 	}
 }
 
+// addReason adds why the owner said that a step waited.
+func (t stepTable) addReason(ev *Event) {
+	var id stepID
+	if _, err := fmt.Sscan(ev.Fields["round"]+" "+ev.Fields["step"], &id.round, &id.step); err != nil {
+		return
+	}
+	s := t.step(id)
+	if reason := ev.Fields["reason"]; reason != "" && !slices.Contains(s.reasons, reason) {
+		s.reasons = append(s.reasons, reason)
+	}
+}
+
+func (t stepTable) step(id stepID) *stepTimes {
+	s := t[id]
+	if s == nil {
+		s = &stepTimes{id: id, started: map[int]time.Time{}, done: map[int]time.Time{}}
+		t[id] = s
+	}
+	return s
+}
+
 // orderSteps returns the steps that have started, in that order.
-func orderSteps(steps map[[2]int]*stepTimes, accepted time.Time) []Step {
+func orderSteps(steps stepTable, accepted time.Time) []Step {
 	var started []*stepTimes
 	for _, s := range steps {
 		if len(s.started) > 0 {
@@ -101,19 +115,19 @@
 		}
 	}
 	slices.SortFunc(started, func(a, b *stepTimes) int {
-		return cmp.Or(a.firstStart().Compare(b.firstStart()), cmp.Compare(a.round, b.round), cmp.Compare(a.step, b.step))
+		return cmp.Or(a.firstStart().Compare(b.firstStart()), cmp.Compare(a.id.round, b.id.round), cmp.Compare(a.id.step, b.id.step))
 	})
 	list := make([]Step, 0, len(started))
 	for _, s := range started {
 		first, last := s.firstStart(), latest(s.started)
 		ready := accepted
 		for _, other := range started {
-			if end := latest(other.done); other.round == s.round && end.After(ready) && !end.After(first) {
+			if end := latest(other.done); other.id.round == s.id.round && end.After(ready) && !end.After(first) {
 				ready = end
 			}
 		}
 		split := Step{
-			Round: s.round, Step: s.step, Wait: spanBetween(ready, first), Spread: spanBetween(first, last),
+			Round: s.id.round, Step: s.id.step, Wait: spanBetween(ready, first), Spread: spanBetween(first, last),
 			Repeats: s.starts - len(s.started), Reasons: s.reasons, Open: len(s.done) < len(s.started),
 		}
 		if end := latest(s.done); end.After(last) {
