explainer, intaker, platform: what the project has already is used

Behaviour is unchanged, but that a reference with anything behind its numbers is no longer taken for a task.

--- a/explainer/step.go
+++ b/explainer/step.go
@@ -68,20 +68,19 @@
 
 // addRun adds the start or the end of a run.
 func (t stepTable) addRun(ev *Event) {
-	var id stepID
-	var index int
-	if _, err := fmt.Sscanf(ev.Fields["task"], "%d/%d/%d", &id.round, &id.step, &index); err != nil {
+	var task cowslipbend.TaskRef
+	if err := task.UnmarshalText([]byte("/" + ev.Fields["task"])); err != nil { // Events leave out the flow.
 		return
 	}
-	s := t.step(id)
+	s := t.step(stepID{task.Round, task.Step})
 	switch {
 	case ev.Message != "run ended":
 		s.starts++
-		if _, known := s.started[index]; !known {
-			s.started[index] = ev.At
+		if _, known := s.started[task.Index]; !known {
+			s.started[task.Index] = ev.At
 		}
 	case ev.Fields["how"] == "done":
-		s.done[index] = ev.At
+		s.done[task.Index] = ev.At
 	}
 }
 
--- a/intaker/handover.go
+++ b/intaker/handover.go
@@ -124,8 +124,14 @@
 
 // endsWithin reports whether the deadline of the context is less than the span away.
 func endsWithin(ctx context.Context, span cowslipbend.Span) bool {
-	deadline, ok := ctx.Deadline()
-	return ok && cowslipbend.SpanOf(time.Until(deadline)) < span
+	left, bounded := timeLeft(ctx)
+	return bounded && left < span
+}
+
+// timeLeft returns the time until the deadline of the context, if it has one.
+func timeLeft(ctx context.Context) (left cowslipbend.Span, bounded bool) {
+	deadline, bounded := ctx.Deadline()
+	return cowslipbend.SpanOf(time.Until(deadline)), bounded
 }
 
 // orderPeers returns the peers in the order in which they are asked to store a
--- a/intaker/slow.go
+++ b/intaker/slow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/forecaster"
@@ -50,11 +49,11 @@
 // stored within its caller's deadline. It is then certainly not stored. A submission
 // that an earlier attempt may have stored is never refused.
 func (i *Intaker) admit(p *submission) error {
-	deadline, ok := p.ctx.Deadline()
-	if !ok || p.mayBeStored || p.trial || p.handedOver { // The entry that hands a flow over limits the wait.
+	within, bounded := timeLeft(p.ctx)
+	if !bounded || p.mayBeStored || p.trial || p.handedOver { // The entry that hands a flow over limits the wait.
 		return nil
 	}
-	now, within := i.clock.Now(), cowslipbend.SpanOf(time.Until(deadline))
+	now := i.clock.Now()
 	i.times.mu.Lock()
 	expected := i.times.forecast.Expected(now)
 	admitted := i.times.forecast.Admit(now, within)
