--- a/review/lab/runner.go
+++ b/review/lab/runner.go
@@ -363,7 +363,9 @@
 	if r.used+reservedCPU(s) > r.machine.cpu && r.machine.guards {
 		return refuse("room")
 	}
-	r.used += reservedCPU(s)
+	if r.used += reservedCPU(s); r.used > r.machine.cpu {
+		r.machine.world.fault("LIMIT", "%s run %d brings %s to %d of %d thousandths of cores", c.Task, c.Run, r.machine.name, r.used, r.machine.cpu)
+	}
 	now := time.Now()
 	r.highest[c.Task] = c.Run
 	r.runs[c.Task] = &run{task: c.Task, number: c.Run, step: s, startedAt: now, savedAt: now, checkpoint: c.Checkpoint, pace: 100}
