--- a/review/lab/process.go
+++ b/review/lab/process.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{world: w, store: newStore()}
+	l := &lab{world: w, store: newStore(w)}
 	if l.dir, err = os.MkdirTemp("", "lab"); err != nil {
 		return l, err
 	}
