--- a/review/lab/process.go
+++ b/review/lab/process.go
@@ -71,6 +71,8 @@
 	fronts   []string
 	servers  []*http.Server
 	dir      string
+	// advisor is nil if the queue needs no advice.
+	advisor *advisor
 }
 
 // Addresses of the lab: one for each front and side machine, and one for each process at
@@ -86,8 +88,7 @@
 	entries, agents int
 	cpu             int // thousandths of a core of each runner
 	guards          bool
-	service         string // further fields of the service in the config
-	route           string // further fields of the route
+	advice          bool // the queue needs advice
 }
 
 // group holds the goroutines of the lab, which end once ending is closed.
@@ -151,6 +152,15 @@
 		}
 	}
 	l.putConfig(o, 1)
+	extra := []string{}
+	if o.advice {
+		l.advisor = newAdvisor(l)
+		addr, err := l.advisor.serve(storeNet+"1", ports["app"])
+		if err != nil {
+			return l, err
+		}
+		extra = append(extra, wire["setting.advice"]+"="+addr)
+	}
 	for i := range o.entries {
 		ip := fmt.Sprint(frontNet, i+1)
 		l.fronts = append(l.fronts, fmt.Sprintf("%s:%d", ip, ports["front"]))
@@ -158,7 +168,7 @@
 		if err != nil {
 			return l, err
 		}
-		p := l.process("entry", i, ports["metrics"], append(l.settings("entry", i, ip, storeAddr, ports, o),
+		p := l.process("entry", i, ports["metrics"], append(append(l.settings("entry", i, ip, storeAddr, ports, o), extra...),
 			fmt.Sprintf("listen.front=%s:%d", ip, ports["front"]), fmt.Sprintf("listen.readiness=%s:%d", ip, ports["ready"])), bin)
 		l.entries = append(l.entries, p)
 	}
@@ -166,7 +176,7 @@
 		ip := fmt.Sprint(sideNet, i+1)
 		m := &machine{
 			world: w, name: fmt.Sprintf("runner%d", i), ip: ip, app: fmt.Sprintf("%s:%d", ip, ports["app"]), control: fmt.Sprintf("%s:%d", ip, ports["control"]),
-			cpu: o.cpu, guards: o.guards, rack: fmt.Sprintf("r1-%d", i/3),
+			cpu: o.cpu, guards: o.guards, advisor: l.advisor, rack: fmt.Sprintf("r1-%d", i/3),
 		}
 		l.machines = append(l.machines, m)
 		if err := m.boot(fmt.Sprintf("i-%08x", 0xa0+i)); err != nil {
@@ -250,10 +260,14 @@
 
 // putConfig writes a version of the operator's config.
 func (l *lab) putConfig(o options, version int) {
+	advice := ""
+	if o.advice {
+		advice = adviceConfig
+	}
 	l.store.put(wire["config.table"], wire["config.key"], []byte(fmt.Sprintf(
 		`{"version":%d,"routes":[{"name":"q0","host":%q,"path_prefix":%q,"service":%q,"priority":0,"max_attempts":3,"stretch":1.5,"target_latency_ms":250%s}],`+
-			`"services":[{"name":%q,"rejects_overload":%t%s}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":5000,"idle_timeout_ms":60000}}`,
-		version, hostName, routePrefix, serviceName, o.route, serviceName, o.guards, o.service,
+			`"services":[{"name":%q,"rejects_overload":%t}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":5000,"idle_timeout_ms":60000}}`,
+		version, hostName, routePrefix, serviceName, advice, serviceName, o.guards,
 	)))
 }
 
--- a/review/lab/runner.go
+++ b/review/lab/runner.go
@@ -36,9 +36,7 @@
 	cpu     int
 	guards  bool
 	rack    string
-	// hook, if not nil, is called with each call before it is carried out. It returns
-	// false to leave the call without answer and effect.
-	hook func(path, task string) bool
+	advisor *advisor // nil if starts need no ticket
 
 	mu     sync.Mutex
 	runner *runner
@@ -280,6 +278,7 @@
 	Spec       string `json:"spec"`
 	Deadline   int64  `json:"deadline_ms"`
 	Checkpoint string `json:"checkpoint"`
+	Ticket     string `json:"ticket"`
 	Percent    int    `json:"percent"`
 	Fence      int64  `json:"fencing_token"`
 	Acked      int64  `json:"ack_seq"`
@@ -296,10 +295,6 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if hook := r.machine.hook; hook != nil && !hook(path, c.Task) {
-		<-q.Context().Done()
-		return
-	}
 	if path == "path.hold" {
 		r.awaitEnd(q.Context(), &c)
 	}
@@ -359,6 +354,9 @@
 		r.machine.world.fault("UNASKED", "%s is to start on %s, and no client sent it", c.Task, r.machine.name)
 		return http.StatusBadRequest, map[string]any{}
 	}
+	if a := r.machine.advisor; a != nil && !a.isValid(c.Ticket, c.Task, r.id, r.born) {
+		return refuse("ticket")
+	}
 	if r.used+reservedCPU(s) > r.machine.cpu && r.machine.guards {
 		return refuse("room")
 	}
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -46,6 +46,10 @@
 	RepeatCount int    `json:"repeat_count,omitempty"`
 	FirstRunMS  int64  `json:"first_run_ms,omitempty"`
 	IntervalMS  int64  `json:"interval_ms,omitempty"`
+
+	// allowed reports whether the policy of the queue allows the job on the runner with
+	// the number; nil allows all.
+	allowed func(runner int) bool
 }
 
 // world records what clients, runners and the platform have seen.
