--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -48,7 +49,8 @@
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	result := make(chan error, 1)
-	group.Go(func() {
+	var plays sync.WaitGroup // Not waited for: a case that takes too long goes on until the process ends.
+	plays.Go(func() {
 		if !l.ready() {
 			result <- fmt.Errorf("the system does not run a first job")
 			return
--- a/review/lab/process.go
+++ b/review/lab/process.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -29,10 +30,17 @@
 	args []string
 	env  []string
 	log  string
-	cmd  *exec.Cmd
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
 }
 
 func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if done() {
+		return errors.New("the case has ended")
+	}
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -45,6 +53,8 @@
 }
 
 func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.cmd != nil {
 		_ = p.cmd.Process.Signal(s) // It may have exited already.
 	}
@@ -52,11 +62,13 @@
 
 // end kills the process and waits for it.
 func (p *process) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.cmd == nil {
 		return
 	}
-	p.signal(syscall.SIGCONT)
-	p.signal(syscall.SIGKILL)
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
 	_ = p.cmd.Wait() // It was killed.
 	p.cmd = nil
 }
@@ -273,10 +285,10 @@
 
 // close ends all processes and stand-ins.
 func (l *lab) close() {
+	close(ending)
 	for _, p := range append(append([]*process{}, l.entries...), l.agents...) {
 		p.end()
 	}
-	close(ending)
 	for _, s := range l.servers {
 		_ = s.Close()
 	}
