stand/metastore: a page's version is that of its rows

The stand-in read the rows, and then the version that it named for them. A commit in between was in neither the rows nor the feed from that version on. The platform's pages say that the rows are as of a single moment, so the fault is the stand-in's and not the product's.

Rows and version are now read under one lock.

--- a/stand/metastore/metastore.go
+++ b/stand/metastore/metastore.go
@@ -146,13 +146,17 @@
 	if n, err := strconv.Atoi(q.Get("limit")); err == nil {
 		limit = min(limit, n)
 	}
-	rows, err := s.faults.Table(&s.table).Scan(r.Context(), q.Get("table")+"/", "", 1<<30)
+	if _, err := s.faults.Table(&s.table).Get(r.Context(), "none/none"); err != nil {
+		writeError(w, err)
+		return
+	}
+	snapshot, err := s.table.Snapshot(r.Context(), q.Get("table"))
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	var p page
-	for _, stored := range rows {
+	p := page{Ver: snapshot.Version}
+	for _, stored := range snapshot.Rows {
 		out := toWire(stored)
 		if out.Key < q.Get("from") || (q.Get("to") != "" && out.Key >= q.Get("to")) {
 			continue
@@ -163,12 +167,6 @@
 		}
 		p.Rows = append(p.Rows, out)
 	}
-	snap, err := s.table.Snapshot(r.Context(), "none")
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	p.Ver = snap.Version
 	writePage(w, http.StatusOK, p)
 }
 
