--- a/agent/joiner/joiner.go
+++ b/agent/joiner/joiner.go
@@ -46,7 +46,7 @@
 	instruments := instrumenter.New(reg)
 	a := &Agent{settings: s, log: log, store: platform.NewStore(s.Store, clock, instruments), caller: caller.New(instruments), runner: platform.NewRunner(s.Runner)}
 	supervisorSettings := supervisor.Settings{
-		Metrics: instruments, URL: "http://" + s.InternalAddress(), Life: cowslipbend.Incarnation(cowslipbend.DrawID()), MaxLease: s.Bounds.MaxLease,
+		Metrics: instruments, URL: s.URL(), Life: cowslipbend.Incarnation(cowslipbend.DrawID()), MaxLease: s.Bounds.MaxLease,
 	}
 	if s.Bounds.Evacuation > 0 {
 		supervisorSettings.MaxDomainAge = max(s.Bounds.Evacuation-domainMargin, domainMargin)
@@ -109,7 +109,7 @@
 		a.store.Close()
 		return nil
 	})
-	a.log.Info("agent started", "agent", a.settings.Node, "domain", a.settings.Domain, "url", "http://"+a.settings.InternalAddress())
+	a.log.Info("agent started", "agent", a.settings.Node, "domain", a.settings.Domain, "url", a.settings.URL())
 	err := g.Wait()
 	a.log.Info("agent stopped", "error", err)
 	return err
--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -88,7 +88,7 @@
 			e.cordoner.ApplyChanges(changes, whole, askedAt, clock.Now())
 		},
 	}, clock, log.Named("ruler"))
-	url := "http://" + s.InternalAddress()
+	url := s.URL()
 	life := cowslipbend.Incarnation(cowslipbend.DrawID())
 	lease := min(s.Bounds.MaxLease*leaseNumerator/leaseDenominator, maxLease)
 	var advisor cowslipbend.Advisor
@@ -211,7 +211,7 @@
 		stop()
 		return nil
 	})
-	e.log.Info("entry started", "entry", e.settings.Node, "domain", e.settings.Domain, "url", "http://"+e.settings.InternalAddress())
+	e.log.Info("entry started", "entry", e.settings.Node, "domain", e.settings.Domain, "url", e.settings.URL())
 	err := g.Wait()
 	e.log.Info("entry stopped", "error", err)
 	return err
