planner, supervisor: starts are void before the owner gives up their host

Cause: a start is void at the end of the longest lease from the report that it names. The agent took the limit of its runner for that (bounds.hold_max_ms, 10 s on some deployments), but an owner grants nine tenths of it and 6 s at most, and gives the host up after 6.3 s. A start that was delivered in the 3.7 s between was executed if a later report had renewed the lease by then. Where the limit is 6 s the gap was 0.3 s.

Orders say how long their starts are valid from the sending of that report, by the lease that the owner grants. They are also void once the owner counts them as unconfirmed and orders their stop, 2.5 s after they were sent: the stop may have overtaken them. The value is set as the orders are sent, not as they are decided. No clocks are compared.

--- a/conductor/domains.go
+++ b/conductor/domains.go
@@ -169,6 +169,7 @@
 	case !c.domainsConfirmed(now):
 		reason = "knowledge of domains out of service is too old"
 	default:
+		c.planner.SealStarts(&p.Orders, now)
 		return false
 	}
 	c.log.Info("starts withdrawn before they were sent", "agent", p.URL, "host", p.Orders.Life, "domain", p.Domain, "starts", len(p.Orders.Starts), "reason", reason, "age", now.Sub(p.CommittedAt).String())
--- a/host.go
+++ b/host.go
@@ -207,10 +207,11 @@
 	Life   Incarnation `json:"life,omitempty"`
 	Starts []RunStart  `json:"starts,omitempty"`
 	// Agent is the incarnation of the agent, and Report the number of its last report to
-	// which the owner has replied. The starts are void once the longest lease from the
-	// sending of that report has ended: the owner may then place the tasks elsewhere.
+	// which the owner has replied. The starts are void once Valid has passed since the
+	// sending of that report: the owner may then place the tasks elsewhere.
 	Agent  Incarnation `json:"agent,omitempty"`
 	Report int64       `json:"report,omitempty"`
+	Valid  Span        `json:"valid,omitempty"`
 	// KnownRuns describes the runs on the host to an agent that has restarted.
 	KnownRuns []RunStart `json:"known,omitempty"`
 	Stops     []RunRef   `json:"stops,omitempty"`
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -179,15 +179,27 @@
 func (p *Planner) takeOutbox() []AgentOrders {
 	var list []AgentOrders
 	for h, o := range p.outbox {
-		if a := p.agents[h.url]; a != nil {
-			o.Agent, o.Report = a.life, a.grantedNumber
-		}
 		list = append(list, AgentOrders{URL: h.url, Domain: h.spec.Domain, Orders: *o})
 		delete(p.outbox, h)
 	}
 	return list
 }
 
+// SealStarts sets from when on the starts of orders are void. It is called just before they
+// are sent. They are void before the owner may give up the host, whose lease ends
+// MaxLease or more after the reply to the report that they name, and once they count as
+// unconfirmed, as their stop may have overtaken them.
+func (p *Planner) SealStarts(o *cowslipbend.HostOrders, now cowslipbend.Time) {
+	h := p.hosts[o.Life]
+	if h == nil {
+		return
+	}
+	if a := p.agents[h.url]; a != nil {
+		o.Agent, o.Report = a.life, a.grantedNumber
+		o.Valid = min(p.opts.MaxLease, now.Sub(a.grantedAt)+startTimeout)
+	}
+}
+
 // startTask places one task and orders its start.
 func (p *Planner) startTask(f *flow, r *round, s *step, index int, h *host, run cowslipbend.Attempt, ticket string, now cowslipbend.Time) {
 	t := &s.tasks[index]
--- a/planner/report.go
+++ b/planner/report.go
@@ -274,8 +274,8 @@
 		reply.Pairs = p.changedPairs(r, h)
 		reply.PairsVersion = p.estimator.Version()
 		h.leaseEnd = max(h.leaseEnd, now.Add(p.opts.MaxLease+p.opts.MaxLease/driftDivisor+leaseSlack))
-		if a := p.agents[r.URL]; a != nil && a.life == r.Agent {
-			a.grantedNumber = max(a.grantedNumber, r.Number)
+		if a := p.agents[r.URL]; a != nil && a.life == r.Agent && r.Number > a.grantedNumber {
+			a.grantedNumber, a.grantedAt = r.Number, now
 		}
 	}
 	return reply
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -197,7 +197,10 @@
 	if o.Agent != s.settings.Life || !known {
 		return 0
 	}
-	return at.Add(s.settings.MaxLease)
+	if o.Valid == 0 {
+		return at.Add(s.settings.MaxLease) // Nor does that owner.
+	}
+	return at.Add(o.Valid)
 }
 
 // recordStart adds a run that the runner has confirmed to the running ones, as
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -173,12 +173,18 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	return newLimitedFixture(t, 0)
+	return newFixtureWith(t, func(*supervisor.Settings) {})
 }
 
 // newLimitedFixture returns a fixture with a limit for the age of what the agent
 // knows of failure domains.
 func newLimitedFixture(t *testing.T, maxDomainAge cowslipbend.Span) *fixture {
+	t.Helper()
+	return newFixtureWith(t, func(s *supervisor.Settings) { s.MaxDomainAge = maxDomainAge })
+}
+
+// newFixtureWith returns a fixture with changed settings.
+func newFixtureWith(t *testing.T, change func(*supervisor.Settings)) *fixture {
 	t.Helper()
 	clock := &timer.Manual{}
 	clock.Advance(10 * cowslipbend.Second)
@@ -188,7 +194,8 @@
 	srv := httptest.NewServer(mux)
 	t.Cleanup(srv.Close)
 	f.owner.url = srv.URL
-	settings := supervisor.Settings{URL: "http://agent", Entries: []string{srv.URL}, Life: "a", MaxLease: 6 * cowslipbend.Second, MaxDomainAge: maxDomainAge}
+	settings := supervisor.Settings{URL: "http://agent", Entries: []string{srv.URL}, Life: "a", MaxLease: 6 * cowslipbend.Second}
+	change(&settings)
 	f.supervisor = supervisor.New(settings, f.runner, caller.New(nil), func(context.Context) string { return "" }, clock, hclog.NewNullLogger())
 	ctx, cancel := context.WithCancel(t.Context())
 	var group errgroup.Group
