planner: a host gets no starts before its agent has a lease of this owner

Callers saw two runs of many tasks at once and tasks that started after their end as done was acknowledged, some seconds after a partition that began with a takeover.

Cause: a start names the last report that was answered with a lease, so that the agent can tell when it is void. A new owner knows a host as soon as its agent has answered the first orders, which grants no lease, and a restarted agent's host as soon as a report is applied, before the reply. Starts in between named no report.

A host is now used once a report of the current incarnation of its agent has been answered with a lease, and starts are withdrawn if that is no longer so as they are sent.

TestNoStartWithoutLease failed before, as did the new case of TestWithdrawnStarts.

--- a/conductor/domains.go
+++ b/conductor/domains.go
@@ -168,8 +168,9 @@
 		reason = "orders are too old"
 	case !c.domainsConfirmed(now):
 		reason = "knowledge of domains out of service is too old"
+	case !c.planner.SealStarts(&p.Orders, now):
+		reason = "host has no lease"
 	default:
-		c.planner.SealStarts(&p.Orders, now)
 		return false
 	}
 	c.log.Info("starts withdrawn before they were sent", "agent", p.URL, "host", p.Orders.Life, "domain", p.Domain, "starts", len(p.Orders.Starts), "reason", reason, "age", now.Sub(p.CommittedAt).String())
--- a/conductor/domains_test.go
+++ b/conductor/domains_test.go
@@ -89,14 +89,19 @@
 // report sends the report of the host and returns the reply.
 func (o *owner) report() cowslipbend.ReportReply {
 	o.t.Helper()
+	reply, err := o.Report(o.t.Context(), o.newReport("agent"))
+	assert.NilError(o.t, err)
+	return reply
+}
+
+// newReport returns the next report of an incarnation of the agent.
+func (o *owner) newReport(agent cowslipbend.Incarnation) *cowslipbend.HostReport {
 	o.number++
-	reply, err := o.Report(o.t.Context(), &cowslipbend.HostReport{
-		Agent: "agent", URL: "http://agent", Number: o.number, Fence: o.Epoch(), Host: &cowslipbend.HostSpec{
+	return &cowslipbend.HostReport{
+		Agent: agent, URL: "http://agent", Number: o.number, Fence: o.Epoch(), Host: &cowslipbend.HostSpec{
 			Life: "h@1", Runner: "h", Service: "ledger", Domain: "a", Size: cowslipbend.Resources{CPU: 8 * cowslipbend.Core, Mem: cowslipbend.GB},
 		},
-	})
-	assert.NilError(o.t, err)
-	return reply
+	}
 }
 
 // round runs one round, and waits until the orders are sent.
@@ -187,6 +192,7 @@
 		{"the domain goes out between commit and sending", func(o *owner) { o.request("a") }, 0},
 		{"another domain goes out", func(o *owner) { o.request("b") }, 1},
 		{"the owner is suspended between commit and sending", func(o *owner) { o.clock.Advance(maxOrderAge + 1) }, 0},
+		{"the agent restarts between commit and sending", func(o *owner) { o.planner.ApplyReport(o.newReport("restarted"), o.clock.Now()) }, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			o := newOwner(t, &scanlessTable{Table: &keeper.Table{}})
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -188,16 +188,16 @@
 // SealStarts sets from when on the starts of orders are void. It is called just before they
 // are sent. They are void before the owner may give up the host, whose lease ends
 // MaxLease or more after the reply to the report that they name, and once they count as
-// unconfirmed, as their stop may have overtaken them.
-func (p *Planner) SealStarts(o *cowslipbend.HostOrders, now cowslipbend.Time) {
+// unconfirmed, as their stop may have overtaken them. It reports false if the host has no
+// lease any more, so that they must not be sent.
+func (p *Planner) SealStarts(o *cowslipbend.HostOrders, now cowslipbend.Time) bool {
 	h := p.hosts[o.Life]
-	if h == nil {
-		return
-	}
-	if a := p.agents[h.url]; a != nil {
-		o.Agent, o.Report = a.life, a.grantedNumber
-		o.Valid = min(p.opts.MaxLease, now.Sub(a.grantedAt)+startTimeout)
+	if h == nil || h.grant.report == 0 {
+		return false
 	}
+	o.Agent, o.Report = p.agents[h.url].life, h.grant.report
+	o.Valid = min(p.opts.MaxLease, now.Sub(h.grant.at)+startTimeout)
+	return true
 }
 
 // startTask places one task and orders its start.
--- a/planner/host.go
+++ b/planner/host.go
@@ -79,6 +79,14 @@
 	headroomAt cowslipbend.Time
 }
 
+// grant is the lease that was granted last.
+type grant struct {
+	// report is the number of the report that it answers, zero if no lease was granted to
+	// the current incarnation of the agent.
+	report int64
+	at     cowslipbend.Time
+}
+
 // host is one incarnation of a runner.
 type host struct {
 	life cowslipbend.Incarnation
@@ -92,6 +100,7 @@
 	// leaseEnd is when its last lease has certainly ended, on the clock of this
 	// process.
 	leaseEnd cowslipbend.Time
+	grant    grant
 	// The ends of runs are numbered. appliedThrough is the number of the last
 	// end that was applied, decidedThrough of the last one that a decision
 	// includes, ackedThrough of the last one that is committed.
@@ -258,9 +267,10 @@
 	return h.reachable(now) && !h.health.banned(now)
 }
 
-// reachable reports whether the host can start new runs.
+// reachable reports whether the host can start new runs. Before this owner has granted a
+// lease to the agent, it could not tell when starts are void.
 func (h *host) reachable(now cowslipbend.Time) bool {
-	return h.reported && h.fenced && !h.spec.Draining && now.Sub(h.lastReportAt) < reportTimeout && now >= h.backoffUntil && h.leaseEnd > now
+	return h.reported && h.fenced && h.grant.report > 0 && !h.spec.Draining && now.Sub(h.lastReportAt) < reportTimeout && now >= h.backoffUntil && h.leaseEnd > now
 }
 
 // free returns the resources that are not reserved.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -129,10 +129,6 @@
 	life cowslipbend.Incarnation
 	// lastReportNumber is the number of its newest report.
 	lastReportNumber int64
-	// grantedNumber is the number of the newest report whose reply granted a lease, at
-	// grantedAt.
-	grantedNumber int64
-	grantedAt     cowslipbend.Time
 	// runnerLife is the incarnation of its runner.
 	runnerLife cowslipbend.Incarnation
 	// knowsRuns is set once this incarnation of the agent has been sent a
--- a/planner/report.go
+++ b/planner/report.go
@@ -63,6 +63,9 @@
 	if current != nil {
 		a.runnerLife, a.retiredLives = current.runnerLife, current.retiredLives
 		a.retiredLives[current.life] = true
+		if h := p.hosts[a.runnerLife]; h != nil {
+			h.grant = grant{}
+		}
 	}
 	p.agentsChanged = p.agentsChanged || current == nil
 	p.agents[r.URL] = a
@@ -274,8 +277,8 @@
 		reply.Pairs = p.changedPairs(r, h)
 		reply.PairsVersion = p.estimator.Version()
 		h.leaseEnd = max(h.leaseEnd, now.Add(p.opts.MaxLease+p.opts.MaxLease/driftDivisor+leaseSlack))
-		if a := p.agents[r.URL]; a != nil && a.life == r.Agent && r.Number > a.grantedNumber {
-			a.grantedNumber, a.grantedAt = r.Number, now
+		if a := p.agents[r.URL]; a != nil && a.life == r.Agent && r.Number > h.grant.report {
+			h.grant = grant{report: r.Number, at: now}
 		}
 	}
 	return reply
--- a/planner/void_test.go
+++ b/planner/void_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/planner"
 )
 
 // TestOrdersNameLease guards against orders that an agent can't tell from those of before
@@ -51,3 +52,35 @@
 		assert.Equal(t, valid, options().MaxLease)
 	})
 }
+
+// TestNoStartWithoutLease guards against starts that name no report, so that they are never
+// void: an owner knows a host from an answer to its orders before it has granted a lease.
+func TestNoStartWithoutLease(t *testing.T) {
+	assertNoneBeforeReply := func(t *testing.T, p *pool) {
+		t.Helper()
+		answer := *p.reports["h0"]
+		answer.Number++
+		p.plan.ApplyReport(&answer, p.now)
+		p.plan.Submit(flow("f", step(1, 1)))
+		assertStarts(t, p.decide(), 0)
+		p.report("h0")
+		o := p.decide()
+		assertStarts(t, o, 1)
+		orders := o["h0"]
+		p.plan.SealStarts(&orders, p.now)
+		assert.Equal(t, orders.Report, p.reports["h0"].Number)
+		assert.Equal(t, orders.Agent, p.reports["h0"].Agent)
+	}
+	t.Run("after a takeover", func(t *testing.T) {
+		p := newPool(t, 1)
+		p.plan = planner.New(epoch, options())
+		p.plan.SetRules(&cowslipbend.Rules{})
+		p.plan.ExpectAgents([]planner.AgentRow{{URL: "h0", RunnerLife: "h0@1"}}, p.now)
+		assertNoneBeforeReply(t, p)
+	})
+	t.Run("after a restart of the agent", func(t *testing.T) {
+		p := newPool(t, 1)
+		p.reports["h0"].Agent, p.reports["h0"].Number = "b", 0
+		assertNoneBeforeReply(t, p)
+	})
+}
