supervisor, planner: starts are void once their host was lost

Callers saw tasks start after their end as done was acknowledged, and two runs at once, after an agent had lost the answers of its runner for about nine seconds and orders to it were held for a second or two meanwhile.

Cause: an agent whose runner has not answered until the end of its lease reports it as lost, and the owner places its tasks elsewhere at once. The same incarnation may answer again; its agent then tracks it anew and gets a lease within milliseconds. A start that was ordered before the loss and arrives after it was executed: its incarnation, its epoch and the report that it names were all right. The same could happen to a start that was decided before the loss and sent after it.

The agent forgets its reports as it records a loss, so that orders that name one of them are void, and the owner doesn't send starts whose runs it has given up since the decision.

TestStartAfterRunnerWasLost and the new case of TestWithdrawnStarts failed before.

--- a/conductor/domains.go
+++ b/conductor/domains.go
@@ -169,7 +169,7 @@
 	case !c.domainsConfirmed(now):
 		reason = "knowledge of domains out of service is too old"
 	case !c.planner.SealStarts(&p.Orders, now):
-		reason = "host has no lease"
+		reason = "host was given up or has no lease"
 	default:
 		return false
 	}
--- a/conductor/domains_test.go
+++ b/conductor/domains_test.go
@@ -193,6 +193,12 @@
 		{"another domain goes out", func(o *owner) { o.request("b") }, 1},
 		{"the owner is suspended between commit and sending", func(o *owner) { o.clock.Advance(maxOrderAge + 1) }, 0},
 		{"the agent restarts between commit and sending", func(o *owner) { o.planner.ApplyReport(o.newReport("restarted"), o.clock.Now()) }, 0},
+		{"the host is lost and comes back between commit and sending", func(o *owner) {
+			lost := o.newReport("agent")
+			lost.Host, lost.LostLife = nil, "h@1"
+			o.planner.ApplyReport(lost, o.clock.Now())
+			o.report()
+		}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			o := newOwner(t, &scanlessTable{Table: &keeper.Table{}})
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"sort"
 
 	"cowslipbend.dev"
@@ -188,8 +189,8 @@
 // SealStarts sets from when on the starts of orders are void. It is called just before they
 // are sent. They are void before the owner may give up the host, whose lease ends
 // MaxLease or more after the reply to the report that they name, and once they count as
-// unconfirmed, as their stop may have overtaken them. It reports false if the host has no
-// lease any more, so that they must not be sent.
+// unconfirmed, as their stop may have overtaken them. It removes those whose runs were given
+// up since the decision, and reports whether any may be sent.
 func (p *Planner) SealStarts(o *cowslipbend.HostOrders, now cowslipbend.Time) bool {
 	h := p.hosts[o.Life]
 	if h == nil || h.grant.report == 0 {
@@ -197,7 +198,8 @@
 	}
 	o.Agent, o.Report = p.agents[h.url].life, h.grant.report
 	o.Valid = min(p.opts.MaxLease, now.Sub(h.grant.at)+startTimeout)
-	return true
+	o.Starts = slices.DeleteFunc(o.Starts, func(s cowslipbend.RunStart) bool { return h.runs[s.RunRef] == nil })
+	return len(o.Starts) > 0
 }
 
 // startTask places one task and orders its start.
--- a/supervisor/giveup_test.go
+++ b/supervisor/giveup_test.go
@@ -43,3 +43,30 @@
 	assert.Equal(t, result.Kind, cowslipbend.Refused)
 	assert.Equal(t, result.Reason, "order is void")
 }
+
+// TestStartAfterRunnerWasLost guards against a start that was ordered before the agent
+// reported its runner as lost, and is executed once the same incarnation answers again.
+func TestStartAfterRunnerWasLost(t *testing.T) {
+	f := newFixture(t)
+	f.connectRunner()
+	var ordered cowslipbend.HostReport
+	f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "") })
+	f.waitFor(func() bool {
+		last := f.owner.lastReport()
+		if last.Host != nil {
+			ordered = last
+		}
+		return last.LostLife == life
+	})
+	f.runner.withLock(func(r *runner) { r.renewErr = nil })
+	f.beat(life, 9)
+	f.waitFor(func() bool { return f.owner.lastReport().Host != nil })
+	lost := f.owner.lastReport().Number
+	f.waitFor(func() bool { return f.owner.lastReport().Number > lost })
+	start := func(report int64) cowslipbend.ResultKind {
+		o := &cowslipbend.HostOrders{Epoch: epoch, Life: life, Agent: "a", Report: report, Valid: 5 * cowslipbend.Second, Starts: []cowslipbend.RunStart{newStart(int(report))}}
+		return f.sendOrders(o).Results[0].Kind
+	}
+	assert.Equal(t, start(f.owner.lastReport().Number), cowslipbend.Started)
+	assert.Equal(t, start(ordered.Number), cowslipbend.Refused)
+}
--- a/supervisor/loss.go
+++ b/supervisor/loss.go
@@ -33,6 +33,9 @@
 	slices.SortFunc(loss.Young, func(a, b cowslipbend.LostRun) int { return cmp.Compare(a.Age, b.Age) })
 	loss.Young = loss.Young[:min(len(loss.Young), maxYoungRuns)]
 	s.loss = loss
+	// The same incarnation may answer again. Starts that were ordered before are void then,
+	// as the owner has given up their runs.
+	clear(s.reportedAt)
 	s.settings.Metrics.RecordLostRunner()
 	fields := []any{"life", loss.Life, "cause", cause, "runs", len(s.running), "young", len(loss.Young), "noticed", s.clock.Now().Sub(brokenAt)}
 	if len(loss.Young) > 0 {
