--- a/stand/metastore/metastore_test.go
+++ b/stand/metastore/metastore_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 
@@ -36,7 +37,7 @@
 	})
 	for version := 0; version < 400; {
 		w := httptest.NewRecorder()
-		s.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/-/rows-get?table=work&limit=500", nil))
+		s.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/-/rows-get?table=work&limit=500", nil))
 		var page struct {
 			Rows []struct{}
 			Ver  int
