planner, supervisor: an owner applies no report of an earlier epoch

The owner logged "host lost" with the cause "replaced" and an empty agent.

Cause: a report that an agent sent to an entry, and that the network held until this entry had taken over, was applied as if it were of now. Its list of runs, its incarnation of the runner or its lost runner were seconds old. A successor has no later report of that agent by which to tell, and nothing in the report said when it was written.

Why it works: a report names the latest epoch that its agent knew as it wrote it. An agent learns the epoch of an owner only from this owner, so that what it writes with it was read after the takeover. The owner answers an earlier report with its epoch alone; the agent has its runner refuse earlier owners, and reports again with the same results. Agents of earlier builds name no epoch and are treated as before.

--- a/host.go
+++ b/host.go
@@ -124,6 +124,9 @@
 	BriefFor Incarnation `json:"brief,omitempty"`
 	// Number grows with each report of the agent.
 	Number int64 `json:"number"`
+	// Epoch is the latest one that the agent knew as it wrote the report, nil from agents
+	// of earlier builds.
+	Epoch *Epoch `json:"epoch,omitempty"`
 	// Fence is an epoch. The runner has confirmed that it refuses calls of
 	// earlier epochs.
 	Fence Epoch `json:"fence"`
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -475,21 +475,28 @@
 	p.endRun("h0", first, cowslipbend.EndDone)
 }
 
+// takeOverRun restores a flow with one run, placed on the host h0, into a new planner.
+func takeOverRun(t *testing.T) (*pool, cowslipbend.RunRef) {
+	t.Helper()
+	old := newPool(t, 1)
+	f := flow("f", step(1, 1))
+	old.plan.Submit(f)
+	var ref cowslipbend.RunRef
+	for _, agent := range old.plan.Decide(old.now, old.now, old.now) {
+		ref = agent.Orders.Starts[0].RunRef
+	}
+	row, err := old.plan.TakeProgress("f")
+	assert.NilError(t, err)
+	p := newPool(t, 0)
+	assert.NilError(t, p.plan.Restore(f, row, p.now))
+	p.plan.ExpectAgents([]planner.AgentRow{{URL: "h0", RunnerLife: "h0@1"}}, p.now)
+	return p, ref
+}
+
 func TestSuccessor(t *testing.T) {
-	// takeOver restores a flow with one placed run into a new planner.
 	takeOver := func(t *testing.T) (*pool, string, cowslipbend.RunRef) {
-		old := newPool(t, 1)
-		f := flow("f", step(1, 1))
-		old.plan.Submit(f)
-		var row []byte
-		var ref cowslipbend.RunRef
-		for _, agent := range old.plan.Decide(old.now, old.now, old.now) {
-			ref = agent.Orders.Starts[0].RunRef
-		}
-		row, err := old.plan.TakeProgress("f")
-		assert.NilError(t, err)
-		p := newPool(t, 0)
-		assert.NilError(t, p.plan.Restore(f, row, p.now))
+		t.Helper()
+		p, ref := takeOverRun(t)
 		return p, "h0", ref
 	}
 	t.Run("a run that its host lists continues", func(t *testing.T) {
--- a/planner/report.go
+++ b/planner/report.go
@@ -5,9 +5,16 @@
 	"cowslipbend.dev/estimator"
 )
 
+// isStale reports whether the agent wrote the report before it knew this owner. The report
+// may have been held for any time, and there are no later ones by which to tell.
+func (p *Planner) isStale(r *cowslipbend.HostReport) bool { return r.Epoch != nil && *r.Epoch < p.epoch }
+
 // ApplyReport processes the report of an agent. The time now is on the clock of
 // this process.
 func (p *Planner) ApplyReport(r *cowslipbend.HostReport, now cowslipbend.Time) {
+	if p.isStale(r) {
+		return
+	}
 	a := p.reportingAgent(r)
 	if a == nil {
 		return
@@ -268,7 +275,7 @@
 // the ends of runs are committed.
 func (p *Planner) Reply(r *cowslipbend.HostReport, now cowslipbend.Time) cowslipbend.ReportReply {
 	reply := cowslipbend.ReportReply{Epoch: p.epoch}
-	if r.Host == nil {
+	if r.Host == nil || p.isStale(r) {
 		return reply
 	}
 	reply.Life = r.Host.Life
--- a/supervisor/giveup_test.go
+++ b/supervisor/giveup_test.go
@@ -14,6 +14,7 @@
 // as they are sent.
 func place(f *fixture, plan *planner.Planner) *cowslipbend.HostOrders {
 	f.t.Helper()
+	f.waitFor(func() bool { return *f.owner.lastReport().Epoch == epoch })
 	r := f.owner.lastReport()
 	plan.ApplyReport(&r, f.clock.Now())
 	assert.Assert(f.t, plan.Reply(&r, f.clock.Now()).LeaseGrant > 0)
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -29,14 +29,10 @@
 	cancelReport := s.cancelReport
 	s.mu.Unlock()
 	if newEpoch {
-		// The runner must refuse earlier owners before its lists are reported.
-		if err := s.renewLease(ctx, false); err != nil {
-			s.log.Warn("runner did not confirm the epoch of a new owner", "epoch", o.Epoch, "error", err)
-		}
+		s.confirmEpoch(ctx, o.Epoch)
 		if cancelReport != nil {
 			cancelReport()
 		}
-		s.triggerReport()
 	}
 	results := s.executeFor(o, life, draining)
 	if o.Brief && !newEpoch && o.Life == life {
--- a/supervisor/report.go
+++ b/supervisor/report.go
@@ -13,8 +13,9 @@
 	s.reportNumber++
 	maps.DeleteFunc(s.reportedAt, func(_ int64, at cowslipbend.Time) bool { return s.clock.Now().Sub(at) > s.settings.MaxLease })
 	s.reportedAt[s.reportNumber] = s.clock.Now()
+	epoch := s.epoch
 	r := cowslipbend.HostReport{
-		Agent: s.settings.Life, URL: s.settings.URL, Number: s.reportNumber, Fence: s.fence, Running: s.running, Ends: s.unackedEnds, MoreEnds: s.moreEnds,
+		Agent: s.settings.Life, URL: s.settings.URL, Number: s.reportNumber, Epoch: &epoch, Fence: s.fence, Running: s.running, Ends: s.unackedEnds, MoreEnds: s.moreEnds,
 		ListAge:      s.clock.Now().Sub(s.lastContact),
 		PairsVersion: s.pairsVersion, PairsEpoch: s.pairsEpoch, LostLife: s.lostLife, Loss: s.loss, EntriesHash: cowslipbend.HashStrings(s.entryURLs),
 	}
@@ -126,7 +127,9 @@
 	s.applyDomains(reply.Epoch, reply.Out)
 	s.domains.askedAt = max(s.domains.askedAt, sentAt)
 	if newEpoch {
-		s.triggerRenewal()
+		// The owner has not applied a report of an earlier epoch.
+		s.unreportedResults = append(r.Results, s.unreportedResults...)
+		s.spawn(func(ctx context.Context) { s.confirmEpoch(ctx, reply.Epoch) })
 	}
 	if reply.PairsVersion > 0 && (reply.Epoch > s.pairsEpoch || reply.PairsVersion > s.pairsVersion) {
 		s.pairsVersion, s.pairsEpoch = reply.PairsVersion, reply.Epoch
@@ -138,6 +141,15 @@
 	return true
 }
 
+// confirmEpoch has the runner refuse earlier owners, before its lists are reported to the
+// one of the epoch, and triggers that report.
+func (s *Supervisor) confirmEpoch(ctx context.Context, epoch cowslipbend.Epoch) {
+	if err := s.renewLease(ctx, false); err != nil {
+		s.log.Warn("runner did not confirm the epoch of a new owner", "epoch", epoch, "error", err)
+	}
+	s.triggerReport()
+}
+
 // applyReply applies the lease grant and the acknowledgement of a reply.
 func (s *Supervisor) applyReply(sentAt cowslipbend.Time, reply *cowslipbend.ReportReply) {
 	if reply.LeaseGrant > 0 {
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -125,6 +125,10 @@
 	// accepts no reports.
 	out    cowslipbend.DomainsOut
 	silent bool
+	// unheard holds the results of the reports that it did not accept.
+	unheard []cowslipbend.RunResult
+	// epoch is its epoch, if that is not the constant.
+	epoch cowslipbend.Epoch
 }
 
 func (o *owner) hasBlockedReport() bool {
@@ -143,10 +147,11 @@
 	}
 	defer o.mu.Unlock()
 	if o.silent {
+		o.unheard = append(o.unheard, r.Results...)
 		return cowslipbend.ReportReply{}, cowslipbend.Fail(cowslipbend.KindBusy, "silent", "report again")
 	}
 	o.reports = append(o.reports, *r)
-	reply := cowslipbend.ReportReply{Epoch: epoch, Owner: o.url, LeaseGrant: o.leaseGrant, Out: o.out, Pairs: o.pairs, PairsVersion: int64(len(o.pairs))}
+	reply := cowslipbend.ReportReply{Epoch: max(o.epoch, epoch), Owner: o.url, LeaseGrant: o.leaseGrant, Out: o.out, Pairs: o.pairs, PairsVersion: int64(len(o.pairs))}
 	if r.Host != nil {
 		reply.Life = r.Host.Life
 	}
