planner, conductor, supervisor: only an answer changes who an agent is

What callers saw: jobs that were accepted and never ended, and tasks that last and did not run (rule LOST), on hosts whose agent had started again during a partition. The owner went on granting the agent leases, but applied none of its reports.

Cause: any incarnation of an agent that the owner did not know counted as the latest one, and the one before as retired for good. A report or an answer of the earlier incarnation, which the network delivered after the first one of the restarted agent, retired the agent that runs.

Why it works: a report of another incarnation than the known one is not applied. The owner asks the agent instead, at most twice a second, and an answer changes the incarnation if its call was sent after the known one was found: one process at a time listens at an address, so that who answers a later call started later. An agent that is asked reports at once, as only a report is answered with a lease.

--- a/conductor/round.go
+++ b/conductor/round.go
@@ -221,13 +221,14 @@
 	}
 	c.logOrders(&p)
 	var r cowslipbend.HostReport
+	sentAt := c.clock.Now()
 	err := c.sender.Call(ctx, p.URL+PathOrders, &p.Orders, &r, orderTimeout)
 	undelivered := cowslipbend.KindOf(err) == cowslipbend.KindDown
 	if cowslipbend.KindOf(err) == cowslipbend.KindUnknown && ctx.Err() == nil {
 		// The resent orders ask the agent whether the starts of the first call
 		// took effect. That the second call cannot connect does not show that
 		// the first had no effect, so undelivered stays as it is.
-		p.Orders.Resent = true
+		p.Orders.Resent, sentAt = true, c.clock.Now()
 		err = c.sender.Call(ctx, p.URL+PathOrders, &p.Orders, &r, orderTimeout)
 	}
 	c.settings.Metrics.RecordOrders(&p.Orders, err)
@@ -235,7 +236,7 @@
 	c.mu.Lock()
 	switch {
 	case err == nil:
-		c.use("report", func() { c.planner.ApplyReport(&r, now) })
+		c.use("report", func() { c.planner.ApplyAnswer(&r, sentAt, now) })
 	case undelivered:
 		c.use("orders", func() { c.planner.RevertUnsent(&p.Orders, now) })
 	}
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -53,7 +53,7 @@
 	for _, h := range p.hosts {
 		h.decidedThrough = h.appliedThrough
 	}
-	return p.takeOutbox()
+	return p.askAgents(p.takeOutbox())
 }
 
 // MarkCommitted records that the last decision is committed: the ends that it
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -134,9 +134,12 @@
 	// knowsRuns is set once this incarnation of the agent has been sent a
 	// description of the runs of this incarnation of the runner.
 	knowsRuns bool
-	// retiredLives holds its earlier incarnations, whose reports may still
-	// arrive.
-	retiredLives map[cowslipbend.Incarnation]bool
+	// foundAt is when the first report of this incarnation was applied.
+	foundAt cowslipbend.Time
+	// doubted is set if another incarnation has reported since the last call that asked
+	// which one it is. The next such call is not sent before askAgainAt.
+	doubted    bool
+	askAgainAt cowslipbend.Time
 	// pairsSentAt holds, for each serving image on its host, the version of the
 	// estimates with which all pairs of the image were first sent.
 	pairsSentAt map[string]int64
--- a/planner/report.go
+++ b/planner/report.go
@@ -7,7 +7,9 @@
 
 // isStale reports whether the agent wrote the report before it knew this owner. The report
 // may have been held for any time, and there are no later ones by which to tell.
-func (p *Planner) isStale(r *cowslipbend.HostReport) bool { return r.Epoch != nil && *r.Epoch < p.epoch }
+func (p *Planner) isStale(r *cowslipbend.HostReport) bool {
+	return r.Epoch != nil && *r.Epoch < p.epoch
+}
 
 // ApplyReport processes the report of an agent. The time now is on the clock of
 // this process.
@@ -15,7 +17,7 @@
 	if p.isStale(r) {
 		return
 	}
-	a := p.reportingAgent(r)
+	a := p.reportingAgent(r, now)
 	if a == nil {
 		return
 	}
@@ -56,29 +58,59 @@
 	}
 }
 
-// reportingAgent returns the agent that sent the report, or nil if a later
-// incarnation of it has reported.
-func (p *Planner) reportingAgent(r *cowslipbend.HostReport) *agent {
-	current := p.agents[r.URL]
+// ApplyAnswer processes the report in the answer of an agent to a call that was sent at
+// the time.
+func (p *Planner) ApplyAnswer(r *cowslipbend.HostReport, sentAt, now cowslipbend.Time) {
+	if a := p.agents[r.URL]; a != nil && a.life != r.Agent && sentAt > a.foundAt {
+		p.addAgent(r, now)
+	}
+	p.ApplyReport(r, now)
+}
+
+// reportingAgent returns the agent that sent the report, or nil if another incarnation of
+// it is known. Either of the two may be the later one, as reports may be held for any time;
+// the answer to a call shows which one it is.
+func (p *Planner) reportingAgent(r *cowslipbend.HostReport, now cowslipbend.Time) *agent {
+	a := p.agents[r.URL]
 	switch {
-	case current != nil && current.life == r.Agent:
-		return current
-	case current != nil && current.retiredLives[r.Agent]:
+	case a == nil || a.life == "":
+		return p.addAgent(r, now)
+	case a.life != r.Agent:
+		a.doubted = true
 		return nil
 	}
-	a := &agent{url: r.URL, life: r.Agent, retiredLives: map[cowslipbend.Incarnation]bool{}}
-	if current != nil {
-		a.runnerLife, a.retiredLives = current.runnerLife, current.retiredLives
-		a.retiredLives[current.life] = true
+	return a
+}
+
+// addAgent adds the incarnation of an agent that sent the report.
+func (p *Planner) addAgent(r *cowslipbend.HostReport, now cowslipbend.Time) *agent {
+	a := &agent{url: r.URL, life: r.Agent, foundAt: now}
+	if earlier := p.agents[r.URL]; earlier != nil {
+		a.runnerLife = earlier.runnerLife
 		if h := p.hosts[a.runnerLife]; h != nil {
 			h.grant = grant{}
 		}
+	} else {
+		p.agentsChanged = true
 	}
-	p.agentsChanged = p.agentsChanged || current == nil
 	p.agents[r.URL] = a
 	return a
 }
 
+// askInterval is the time between two calls that ask an agent which incarnation it is.
+const askInterval = 500 * cowslipbend.Millisecond
+
+// askAgents appends the calls to agents of which another incarnation has reported.
+func (p *Planner) askAgents(list []AgentOrders) []AgentOrders {
+	for _, a := range p.agents {
+		if a.doubted && p.now >= a.askAgainAt {
+			a.doubted, a.askAgainAt = false, p.now.Add(askInterval)
+			list = append(list, AgentOrders{URL: a.url, Orders: cowslipbend.HostOrders{Epoch: p.epoch}})
+		}
+	}
+	return list
+}
+
 // observeInterval is the time between two observations of the tail latencies of
 // a host, which are measured over the last half second.
 const observeInterval = 450 * cowslipbend.Millisecond
--- a/planner/row.go
+++ b/planner/row.go
@@ -71,7 +71,7 @@
 		if p.agents[row.URL] != nil {
 			continue
 		}
-		p.agents[row.URL] = &agent{url: row.URL, runnerLife: row.RunnerLife, retiredLives: map[cowslipbend.Incarnation]bool{}}
+		p.agents[row.URL] = &agent{url: row.URL, runnerLife: row.RunnerLife}
 		if row.RunnerLife != "" {
 			p.expectHost(row.RunnerLife, now)
 		}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -34,6 +34,9 @@
 			cancelReport()
 		}
 	}
+	if len(o.Starts)+len(o.Stops)+len(o.KnownRuns) == 0 {
+		s.triggerReport() // The owner asks who this agent is, and grants a lease to a report only.
+	}
 	results := s.executeFor(o, life, draining)
 	if o.Brief && !newEpoch && o.Life == life {
 		return cowslipbend.HostReport{Agent: s.settings.Life, URL: s.settings.URL, BriefFor: o.Life, Results: results}, nil
