planner: a runner that started again inherits the lease of the earlier one

Cause: runs that reached a new incarnation are carried over to it. It had no lease in the owner's books before the next report was answered, so that a host that fell silent then counted as lapsed after 1.2 s. The agent renews the leases of the runs there until the lease ends that it was granted for the earlier incarnation.

Why it works: the new incarnation is given up when the lease that its agent holds has ended.

--- a/planner/carry.go
+++ b/planner/carry.go
@@ -23,14 +23,17 @@
 	for i := range r.Ends {
 		p.carryRun(old, r.Ends[i].RunRef, r.Host.Life)
 	}
-	if !r.MoreEnds {
-		return
-	}
-	for ref, pl := range old.runs {
-		if !pl.confirmed {
-			p.carryRun(old, ref, r.Host.Life)
+	if r.MoreEnds {
+		for ref, pl := range old.runs {
+			if !pl.confirmed {
+				p.carryRun(old, ref, r.Host.Life)
+			}
 		}
 	}
+	if h := p.hosts[r.Host.Life]; h != nil {
+		// The agent renews the leases of these runs until the one that it has ends.
+		h.leaseEnd = max(h.leaseEnd, old.leaseEnd)
+	}
 }
 
 func (p *Planner) carryRun(old *host, ref cowslipbend.RunRef, life cowslipbend.Incarnation) {
--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -54,6 +54,17 @@
 		p.endRun(name, ref, cowslipbend.EndDone)
 		assertState(t, p, "f", cowslipbend.FlowDone)
 	})
+	t.Run("a run whose host falls silent keeps its place until the earlier lease has ended", func(t *testing.T) {
+		p, name, ref := setUp(t)
+		p.reports[name].Running = []cowslipbend.RunState{{RunRef: ref, Percent: 10}}
+		p.now = p.now.Add(1)
+		p.answer(name)
+		delete(p.reports, name)
+		p.advance(4 * cowslipbend.Second)
+		assertStarts(t, p.decide(), 0)
+		p.advance(2 * cowslipbend.Second)
+		assertStarts(t, p.decide(), 1)
+	})
 	t.Run("the next owner finds the run on that incarnation", func(t *testing.T) {
 		p, name, ref := setUp(t)
 		p.reports[name].Running = []cowslipbend.RunState{{RunRef: ref, Percent: 10}}
