supervisor: a runner that started again keeps its ends, and gets no earlier starts

Cause: calls name the id of a runner, which both incarnations have. A start on its way reached the new one, which numbers its ends from 1 again. Each renewal repeated the number of the last acknowledged end, and the one that waits at the runner repeated it as soon as a run ended there. The new incarnation dropped its ends before anyone had seen them, and the owner took the runs for lost. A start without an answer could also take effect there once the owner had given it up, as its deadline is one on the earlier clock.

Why it works: an end is acknowledged until the runner has confirmed it once, at most 0.3 s after a list of that incarnation, and in renewals that do not wait. Before an agent tracks a new incarnation with the same id, it stops the runs there whose starts had no answer, so that they are listed as ended or refused.

What remains: an agent that stops between the list and the acknowledgement, and calls that are executed late, as no call can name the incarnation.

--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -81,9 +81,11 @@
 		s.mu.Unlock()
 		return nil
 	}
-	life, until, acked, epoch := s.host.Life, s.runnerDeadline(s.leaseEnd), s.ackedThrough, s.epoch
+	life, until, epoch := s.host.Life, s.runnerDeadline(s.leaseEnd), s.epoch
+	acked := s.acknowledgement()
 	timeout := cowslipbend.Span(0)
-	if poll && s.clockSynced && len(s.unackedEnds) == 0 {
+	acks := s.ackedThrough != s.ackConfirmed && s.contactBrokenAt == 0
+	if poll && s.clockSynced && len(s.unackedEnds) == 0 && !acks {
 		if timeout = pollTimeout; s.hasServingRuns() {
 			timeout = servingPollTimeout
 		}
@@ -114,7 +116,7 @@
 	s.listedRenewal = renewal
 	s.clockOffset, s.clockSynced = list.Clock.Sub(s.clock.Now()), true
 	s.lastContact, s.unreachableRenewals, s.contactBrokenAt = s.clock.Now(), 0, 0
-	s.fence = max(s.fence, epoch)
+	s.fence, s.ackConfirmed = max(s.fence, epoch), max(s.ackConfirmed, acked)
 	s.running = s.withStarted(list, renewal)
 	if s.moreEnds != list.MoreEnds {
 		s.log.Info("runner's list of ended runs", "life", life, "complete", !list.MoreEnds, "ends", len(list.Ends))
@@ -124,6 +126,17 @@
 	return nil
 }
 
+// acknowledgement returns the number up to which the runner may drop ends, or zero if it has
+// confirmed that already, or has not just listed its runs: one that started again with the
+// same id would drop its own ends. For that, the renewal must not wait for an end either. The
+// caller holds the lock.
+func (s *Supervisor) acknowledgement() int64 {
+	if s.ackedThrough == s.ackConfirmed || s.contactBrokenAt != 0 || s.clock.Now().Sub(s.lastContact) > maxListAge {
+		return 0
+	}
+	return s.ackedThrough
+}
+
 // withStarted returns the running runs of a list and those that the runner has
 // confirmed since the renewal was sent.
 func (s *Supervisor) withStarted(list cowslipbend.RunList, renewal int64) []cowslipbend.RunState {
--- a/supervisor/identify.go
+++ b/supervisor/identify.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"cowslipbend.dev"
 )
@@ -48,6 +49,9 @@
 			continue
 		}
 		list, err := s.runner.RenewLeases(ctx, c.beat.Host.Life, 0, 0, 0, epoch)
+		if err == nil && list.Life == c.beat.Host.Life {
+			err = s.stopUnanswered(ctx, list.Life, epoch)
+		}
 		if !s.decideCandidate(c.beat.Host.Life, list.Life, err) {
 			s.sleep(ctx, s.candidateTrigger, renewalBackoff)
 		}
@@ -55,6 +59,40 @@
 	return nil
 }
 
+// stopUnanswered stops the runs at a new incarnation of the runner whose starts an earlier
+// one with the same id has not answered. Such a start passes for one of the new incarnation,
+// with a deadline on a clock that has begun again, and its run is given up with the earlier.
+func (s *Supervisor) stopUnanswered(ctx context.Context, life cowslipbend.Incarnation, epoch cowslipbend.Epoch) error {
+	s.mu.Lock()
+	refs := s.unansweredStarts(life)
+	s.mu.Unlock()
+	for _, ref := range refs {
+		if err := s.runner.Stop(ctx, life, ref, epoch); needsRetry(err) {
+			return err
+		}
+		s.mu.Lock()
+		if r := s.runs[ref]; r != nil {
+			r.stoppedAt = life
+		}
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// unansweredStarts returns the runs that the incarnation may still start, as it has the id
+// of the one that they were ordered from. The caller holds the lock.
+func (s *Supervisor) unansweredStarts(life cowslipbend.Incarnation) []cowslipbend.RunRef {
+	id, _, _ := strings.Cut(string(life), "@")
+	var refs []cowslipbend.RunRef
+	for ref, r := range s.runs {
+		earlier, _, _ := strings.Cut(string(r.startedAt), "@")
+		if earlier == id && !r.started && r.startedAt != life && r.stoppedAt != life {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
+
 // decideCandidate tracks the candidate if the runner has answered as that incarnation, and
 // drops it if the runner is another one. It reports whether either is known.
 func (s *Supervisor) decideCandidate(life, answered cowslipbend.Incarnation, err error) bool {
@@ -70,6 +108,8 @@
 	confirmed := (err == nil && answered == life) || (kind == cowslipbend.KindConflict && s.host == nil)
 	refuted := (err == nil && answered != life) || kind == cowslipbend.KindStale
 	switch {
+	case confirmed && len(s.unansweredStarts(life)) > 0 && err == nil:
+		return false // One was sent meanwhile.
 	case confirmed:
 		s.candidate = nil
 		s.trackLife(c.beat)
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -152,8 +152,11 @@
 	if o.Report != 0 && voidAt <= now {
 		refusal = "order is void"
 	}
+	if s.host == nil || s.host.Life != life {
+		refusal = "runner has started again"
+	}
 	s.addRun(order)
-	s.runs[order.RunRef].startSentAt = s.clock.Now()
+	s.runs[order.RunRef].startSentAt, s.runs[order.RunRef].startedAt = now, life
 	s.mu.Unlock()
 	result := &cowslipbend.RunResult{RunRef: order.RunRef}
 	if until == 0 && refusal == "" {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -38,6 +38,9 @@
 	// renewalBackoff is the delay after a failed renewal, and before one while
 	// ends are not acknowledged, as the runner then answers at once.
 	renewalBackoff = 150 * cowslipbend.Millisecond
+	// maxListAge is the greatest age of the runner's last list with which its ends are
+	// acknowledged.
+	maxListAge = 2 * renewalBackoff
 	// startTimeout is how long after an order the runner may start the run. It
 	// ignores a start that arrives later.
 	startTimeout = 1500 * cowslipbend.Millisecond
@@ -91,6 +94,9 @@
 	renewalAtStart int64
 	// startSentAt is when this process sent the start; zero if it did not.
 	startSentAt cowslipbend.Time
+	// startedAt is the incarnation of the runner to which that start was sent, and stoppedAt
+	// a later one that will never start the run.
+	startedAt, stoppedAt cowslipbend.Incarnation
 	// pace is the last pace that the runner has confirmed, in per cent.
 	pace int
 }
@@ -144,8 +150,10 @@
 	entryURLs    []string
 	reportNumber int64
 	// reportedAt holds the times of the reports of the last MaxLease by their numbers.
-	reportedAt   map[int64]cowslipbend.Time
-	ackedThrough int64
+	reportedAt map[int64]cowslipbend.Time
+	// ackedThrough is the number of the last end that the owner has acknowledged, and
+	// ackConfirmed of the last one that the runner has dropped for that.
+	ackedThrough, ackConfirmed int64
 	// running and unackedEnds are from the runner's last list. running also has
 	// the runs that were started since.
 	running     []cowslipbend.RunState
@@ -259,7 +267,7 @@
 	s.host, s.heartbeatSequence, s.lostLife, s.runnerLeaseEnd = &b.Host, b.Sequence, "", 0
 	s.heartbeatAt = s.clock.Now()
 	s.lastContact, s.unreachableRenewals, s.contactBrokenAt = s.clock.Now(), 0, 0
-	s.clockSynced, s.fence, s.ackedThrough = false, 0, 0
+	s.clockSynced, s.fence, s.ackedThrough, s.ackConfirmed = false, 0, 0, 0
 	s.running, s.unackedEnds, s.moreEnds, s.unreportedResults = nil, nil, false, nil
 	s.listedRenewal = s.renewals
 	s.runs = map[cowslipbend.RunRef]*run{}
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -72,7 +73,7 @@
 	return r.stopErr
 }
 
-func (r *runner) RenewLeases(_ context.Context, asked cowslipbend.Incarnation, until cowslipbend.Time, _ int64, _ cowslipbend.Span, fence cowslipbend.Epoch) (cowslipbend.RunList, error) {
+func (r *runner) RenewLeases(_ context.Context, asked cowslipbend.Incarnation, until cowslipbend.Time, acked int64, _ cowslipbend.Span, fence cowslipbend.Epoch) (cowslipbend.RunList, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.panicNext {
@@ -87,6 +88,7 @@
 		return cowslipbend.RunList{}, cowslipbend.Fail(cowslipbend.KindConflict, "fence", "")
 	}
 	r.leaseEnd, r.fence = max(r.leaseEnd, until), max(r.fence, fence)
+	r.ends = slices.DeleteFunc(r.ends, func(e cowslipbend.RunEnd) bool { return e.Number <= acked })
 	list := cowslipbend.RunList{Life: cmp.Or(r.life, life), Clock: r.clock.Now(), MoreEnds: r.moreEnds}
 	list.Running = append(list.Running, r.running...)
 	list.Ends = append(list.Ends, r.ends...)
@@ -127,6 +129,8 @@
 	silent bool
 	// unheard holds the results of the reports that it did not accept.
 	unheard []cowslipbend.RunResult
+	// acked is the number of the last end that it acknowledges.
+	acked int64
 	// epoch is its epoch, if that is not the constant.
 	epoch cowslipbend.Epoch
 }
@@ -155,6 +159,9 @@
 	if r.Host != nil {
 		reply.Life = r.Host.Life
 	}
+	if reply.Life == life {
+		reply.AckedThrough = o.acked
+	}
 	return reply, nil
 }
 
