--- a/planner/report.go
+++ b/planner/report.go
@@ -45,16 +45,21 @@
 	}
 	p.applyResults(h, r, now)
 	if newer {
-		h.excuseSilence(now)
-		h.url, h.spec, h.reported, h.lastReportAt = r.URL, *r.Host, true, now
-		h.fenced = r.Fence == p.epoch
-		h.coldUntil = now.Add(r.Host.ColdRemaining)
-		p.applyLists(h, r, now)
-		if now.Sub(h.observedAt) >= observeInterval {
-			h.observedAt = now
-			p.estimator.Observe(h.estimatorSample(now.Add(-r.ListAge)))
-			h.forgetHeadroom()
-		}
+		p.updateHost(h, r, now)
+	}
+}
+
+// updateHost updates the host from its newest report.
+func (p *Planner) updateHost(h *host, r *cowslipbend.HostReport, now cowslipbend.Time) {
+	h.excuseSilence(now)
+	h.url, h.spec, h.reported, h.lastReportAt = r.URL, *r.Host, true, now
+	h.fenced = r.Fence == p.epoch
+	h.coldUntil = now.Add(r.Host.ColdRemaining)
+	p.applyLists(h, r, now)
+	if now.Sub(h.observedAt) >= observeInterval {
+		h.observedAt = now
+		p.estimator.Observe(h.estimatorSample(now.Add(-r.ListAge)))
+		h.forgetHeadroom()
 	}
 }
 
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -82,13 +82,9 @@
 		return nil
 	}
 	life, until, epoch := s.host.Life, s.runnerDeadline(s.leaseEnd), s.epoch
-	acked := s.acknowledgement()
-	timeout := cowslipbend.Span(0)
-	acks := s.ackedThrough != s.ackConfirmed && s.contactBrokenAt == 0
-	if poll && s.clockSynced && len(s.unackedEnds) == 0 && !acks {
-		if timeout = pollTimeout; s.hasServingRuns() {
-			timeout = servingPollTimeout
-		}
+	acked, timeout := s.acknowledgement(), cowslipbend.Span(0)
+	if poll {
+		timeout = s.pollTimeout()
 	}
 	s.renewals++
 	renewal := s.renewals
@@ -137,6 +133,19 @@
 	return s.ackedThrough
 }
 
+// pollTimeout returns how long the runner may wait for an end. It must answer at once while
+// ends are to be acknowledged. The caller holds the lock.
+func (s *Supervisor) pollTimeout() cowslipbend.Span {
+	acks := s.ackedThrough != s.ackConfirmed && s.contactBrokenAt == 0
+	switch {
+	case !s.clockSynced || len(s.unackedEnds) > 0 || acks:
+		return 0
+	case s.hasServingRuns():
+		return servingPollTimeout
+	}
+	return pollTimeout
+}
+
 // withStarted returns the running runs of a list and those that the runner has
 // confirmed since the renewal was sent.
 func (s *Supervisor) withStarted(list cowslipbend.RunList, renewal int64) []cowslipbend.RunState {
