supervisor: the first lease goes to the runner at once

What callers saw: nothing, as it did not land. Tasks that were started in the first second after an agent had found an owner lapsed 1.5 s after their start and were started again.

Cause: since an agent that learns of an epoch has its runner confirm it at once, and starts come right after its next report. The renewal that waits at the runner since before that carries no lease and the earlier epoch; it fails after a second, and the next one waits again. Until that is answered, runs have the lease of their start only.

Why it works: a lease that follows none is passed on by a renewal of its own that does not wait.

--- a/supervisor/report.go
+++ b/supervisor/report.go
@@ -153,7 +153,12 @@
 // applyReply applies the lease grant and the acknowledgement of a reply.
 func (s *Supervisor) applyReply(sentAt cowslipbend.Time, reply *cowslipbend.ReportReply) {
 	if reply.LeaseGrant > 0 {
+		first := s.leaseEnd <= s.clock.Now()
 		s.leaseEnd = max(s.leaseEnd, sentAt.Add(min(reply.LeaseGrant, s.settings.MaxLease)))
+		if first {
+			// The renewal that waits at the runner carries no lease, and starts come next.
+			s.spawn(func(ctx context.Context) { _ = s.renewLease(ctx, false) })
+		}
 	}
 	if reply.AckedThrough <= s.ackedThrough {
 		return
