supervisor: state that can be derived, and two conditions that were written twice

All runs that an agent knows belong to the incarnation that it tracks or has lost, so that a run need not name the incarnation at which it was ordered. Results are put back in one place, and whether an acknowledgement is pending is asked in one place. No change in behaviour.

--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -127,18 +127,23 @@
 // same id would drop its own ends. For that, the renewal must not wait for an end either. The
 // caller holds the lock.
 func (s *Supervisor) acknowledgement() int64 {
-	if s.ackedThrough == s.ackConfirmed || s.contactBrokenAt != 0 || s.clock.Now().Sub(s.lastContact) > maxListAge {
+	if !s.hasAcknowledgement() || s.clock.Now().Sub(s.lastContact) > maxListAge {
 		return 0
 	}
 	return s.ackedThrough
 }
 
+// hasAcknowledgement reports whether the runner has to be told of acknowledged ends, once it
+// has listed its runs. The caller holds the lock.
+func (s *Supervisor) hasAcknowledgement() bool {
+	return s.ackedThrough != s.ackConfirmed && s.contactBrokenAt == 0
+}
+
 // pollTimeout returns how long the runner may wait for an end. It must answer at once while
 // ends are to be acknowledged. The caller holds the lock.
 func (s *Supervisor) pollTimeout() cowslipbend.Span {
-	acks := s.ackedThrough != s.ackConfirmed && s.contactBrokenAt == 0
 	switch {
-	case !s.clockSynced || len(s.unackedEnds) > 0 || acks:
+	case !s.clockSynced || len(s.unackedEnds) > 0 || s.hasAcknowledgement():
 		return 0
 	case s.hasServingRuns():
 		return servingPollTimeout
--- a/supervisor/identify.go
+++ b/supervisor/identify.go
@@ -80,13 +80,19 @@
 }
 
 // unansweredStarts returns the runs that the incarnation may still start, as it has the id
-// of the one that they were ordered from. The caller holds the lock.
+// of the earlier one, at which they were ordered. The caller holds the lock.
 func (s *Supervisor) unansweredStarts(life cowslipbend.Incarnation) []cowslipbend.RunRef {
+	earlier := s.lostLife
+	if s.host != nil {
+		earlier = s.host.Life
+	}
 	id, _, _ := strings.Cut(string(life), "@")
+	if earlierID, _, _ := strings.Cut(string(earlier), "@"); earlierID != id || earlier == life {
+		return nil
+	}
 	var refs []cowslipbend.RunRef
 	for ref, r := range s.runs {
-		earlier, _, _ := strings.Cut(string(r.startedAt), "@")
-		if earlier == id && !r.started && r.startedAt != life && r.stoppedAt != life {
+		if r.startSentAt > 0 && !r.started && r.stoppedAt != life {
 			refs = append(refs, ref)
 		}
 	}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -156,7 +156,7 @@
 		refusal = "runner has started again"
 	}
 	s.addRun(order)
-	s.runs[order.RunRef].startSentAt, s.runs[order.RunRef].startedAt = now, life
+	s.runs[order.RunRef].startSentAt = now
 	s.mu.Unlock()
 	result := &cowslipbend.RunResult{RunRef: order.RunRef}
 	if until == 0 && refusal == "" {
--- a/supervisor/report.go
+++ b/supervisor/report.go
@@ -62,14 +62,15 @@
 	if s.searchOwner(ctx, owner, &r) {
 		return true
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.requeueResults(r.Results)
 	return false
 }
 
-// requeueResults puts back results of a report that was not accepted.
+// requeueResults puts back results of a report that was not accepted or applied. The caller
+// holds the lock.
 func (s *Supervisor) requeueResults(results []cowslipbend.RunResult) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.unreportedResults = append(results, s.unreportedResults...)
 }
 
@@ -128,7 +129,7 @@
 	s.domains.askedAt = max(s.domains.askedAt, sentAt)
 	if newEpoch {
 		// The owner has not applied a report of an earlier epoch.
-		s.unreportedResults = append(r.Results, s.unreportedResults...)
+		s.requeueResults(r.Results)
 		s.spawn(func(ctx context.Context) { s.confirmEpoch(ctx, reply.Epoch) })
 	}
 	if reply.PairsVersion > 0 && (reply.Epoch > s.pairsEpoch || reply.PairsVersion > s.pairsVersion) {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -94,9 +94,8 @@
 	renewalAtStart int64
 	// startSentAt is when this process sent the start; zero if it did not.
 	startSentAt cowslipbend.Time
-	// startedAt is the incarnation of the runner to which that start was sent, and stoppedAt
-	// a later one that will never start the run.
-	startedAt, stoppedAt cowslipbend.Incarnation
+	// stoppedAt is a later incarnation of the runner, which will never start the run.
+	stoppedAt cowslipbend.Incarnation
 	// pace is the last pace that the runner has confirmed, in per cent.
 	pace int
 }
