--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -341,18 +341,21 @@
 	})
 }
 
+// newRunningTask returns a pool of two hosts, one of which runs a task of the flow "f".
+func newRunningTask(t *testing.T) (*pool, string, cowslipbend.RunRef) {
+	t.Helper()
+	p := newPool(t, 2)
+	p.plan.Submit(flow("f", step(1, 1)))
+	orders := p.decide()
+	name, ref := onlyStart(t, orders)
+	p.startRuns(orders)
+	assertStarts(t, p.decide(), 0)
+	return p, name, ref
+}
+
 func TestLostRuns(t *testing.T) {
-	setUp := func(t *testing.T) (*pool, string, cowslipbend.RunRef) {
-		p := newPool(t, 2)
-		p.plan.Submit(flow("f", step(1, 1)))
-		orders := p.decide()
-		name, ref := onlyStart(t, orders)
-		p.startRuns(orders)
-		assertStarts(t, p.decide(), 0)
-		return p, name, ref
-	}
 	t.Run("a host without reports keeps its runs until its lease has ended", func(t *testing.T) {
-		p, name, _ := setUp(t)
+		p, name, _ := newRunningTask(t)
 		delete(p.reports, name)
 		p.advance(5 * cowslipbend.Second)
 		assertStarts(t, p.decide(), 0)
@@ -360,7 +363,7 @@
 		assertStarts(t, p.decide(), 1)
 	})
 	t.Run("a new incarnation of the runner ends the runs of the old one", func(t *testing.T) {
-		p, name, _ := setUp(t)
+		p, name, _ := newRunningTask(t)
 		spec := *p.reports[name].Host
 		spec.Life = "again@2"
 		p.reports[name].Host, p.reports[name].Running = &spec, nil
@@ -368,7 +371,7 @@
 		assertStarts(t, p.decide(), 1)
 	})
 	t.Run("a host that reports again after a long time is used", func(t *testing.T) {
-		p, name, _ := setUp(t)
+		p, name, _ := newRunningTask(t)
 		other := map[string]string{"h0": "h1", "h1": "h0"}[name]
 		pausedReport := p.reports[name]
 		delete(p.reports, name)
@@ -382,20 +385,20 @@
 		assert.Equal(t, found, name)
 	})
 	t.Run("the runs of a runner that is reported as lost end", func(t *testing.T) {
-		p, name, _ := setUp(t)
+		p, name, _ := newRunningTask(t)
 		p.reports[name].LostLife, p.reports[name].Host, p.reports[name].Running = p.reports[name].Host.Life, nil, nil
 		p.report(name)
 		assertStarts(t, p.decide(), 1)
 	})
 	t.Run("an older report changes nothing", func(t *testing.T) {
-		p, name, _ := setUp(t)
+		p, name, _ := newRunningTask(t)
 		late := *p.reports[name]
 		late.Number, late.LostLife, late.Host = 1, late.Host.Life, nil
 		p.plan.ApplyReport(&late, p.now)
 		assertStarts(t, p.decide(), 0)
 	})
 	t.Run("a report of an earlier incarnation of the agent changes nothing", func(t *testing.T) {
-		p, name, _ := setUp(t)
+		p, name, _ := newRunningTask(t)
 		late := *p.reports[name]
 		late.LostLife, late.Host = late.Host.Life, nil
 		late.Number += 100
--- a/planner/restart_test.go
+++ b/planner/restart_test.go
@@ -20,14 +20,6 @@
 // TestReportsOfEarlierAgents guards against the held report of an agent that has restarted
 // since: it supplanted the one that runs, of which nothing was applied from then on.
 func TestReportsOfEarlierAgents(t *testing.T) {
-	setUp := func(t *testing.T) (*pool, string, cowslipbend.RunRef) {
-		p := newPool(t, 2)
-		p.plan.Submit(flow("f", step(1, 1)))
-		orders := p.decide()
-		name, ref := onlyStart(t, orders)
-		p.startRuns(orders)
-		return p, name, ref
-	}
 	ofAgent := func(p *pool, name string, life cowslipbend.Incarnation) *cowslipbend.HostReport {
 		r, spec := *p.reports[name], *p.reports[name].Host
 		r.Agent, r.Host, r.Number = life, &spec, r.Number+100
@@ -39,7 +31,7 @@
 		assert.Assert(t, asked && o.Epoch == epoch && len(o.Starts)+len(o.Stops) == 0, "%+v", o)
 	}
 	t.Run("does not supplant the later agent", func(t *testing.T) {
-		p, name, ref := setUp(t)
+		p, name, ref := newRunningTask(t)
 		held := ofAgent(p, name, "earlier")
 		held.Running = nil
 		p.plan.ApplyReport(held, p.now)
@@ -48,7 +40,7 @@
 		assertState(t, p, "f", cowslipbend.FlowDone)
 	})
 	t.Run("comes first, until the later agent answers", func(t *testing.T) {
-		p, name, ref := setUp(t)
+		p, name, ref := newRunningTask(t)
 		p.advance(cowslipbend.Second)
 		p.reports[name] = ofAgent(p, name, "later")
 		assert.Equal(t, p.report(name).Epoch, cowslipbend.Epoch(epoch))
@@ -58,7 +50,7 @@
 		assertState(t, p, "f", cowslipbend.FlowDone)
 	})
 	t.Run("is not an answer to a call from before the later agent was found", func(t *testing.T) {
-		p, name, ref := setUp(t)
+		p, name, ref := newRunningTask(t)
 		p.advance(cowslipbend.Second)
 		held, sentAt := ofAgent(p, name, "a"), p.now
 		p.reports[name] = ofAgent(p, name, "later")
@@ -70,7 +62,7 @@
 		assertState(t, p, "f", cowslipbend.FlowDone)
 	})
 	t.Run("is asked about at intervals", func(t *testing.T) {
-		p, name, _ := setUp(t)
+		p, name, _ := newRunningTask(t)
 		held := ofAgent(p, name, "earlier")
 		for _, want := range []int{1, 0, 1} {
 			p.plan.ApplyReport(held, p.now)
--- a/stand/hostrunner/hostrunner_test.go
+++ b/stand/hostrunner/hostrunner_test.go
@@ -24,8 +24,13 @@
 // startTaskUntil is startTask with the deadline, until which the runner has a lease.
 func startTaskUntil(t *testing.T, r *hostrunner.Runner, name, task string, deadline cowslipbend.Time) {
 	t.Helper()
-	body := fmt.Sprintf(`{"task":"%s","run":1,"fencing_token":1,"deadline_ms":%d}`, task, deadline)
-	req := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/-/run-start", strings.NewReader(body))
+	call(t, r, name, "run-start", fmt.Sprintf(`{"task":"%s","run":1,"fencing_token":1,"deadline_ms":%d}`, task, deadline))
+}
+
+// call makes a call to the runner, which it must carry out.
+func call(t *testing.T, r *hostrunner.Runner, name, operation, body string) {
+	t.Helper()
+	req := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/-/"+operation, strings.NewReader(body))
 	req.Header.Set("X-Cowslipbend-Expect-Instance", name)
 	w := httptest.NewRecorder()
 	r.Handler().ServeHTTP(w, req)
@@ -119,10 +124,8 @@
 			first, second := hostrunner.New(pool, "i-0", 1), hostrunner.New(pool, "i-1", cowslipbend.Day)
 			second.SetContact(func() bool { return test.contact })
 			hold := func(acked int) {
-				body := fmt.Sprintf(`{"fencing_token":1,"ack_seq":%d,"deadline_ms":0}`, acked)
-				req := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/-/hold", strings.NewReader(body))
-				req.Header.Set("X-Cowslipbend-Expect-Instance", "i-0")
-				first.Handler().ServeHTTP(httptest.NewRecorder(), req)
+				t.Helper()
+				call(t, first, "i-0", "hold", fmt.Sprintf(`{"fencing_token":1,"ack_seq":%d,"deadline_ms":0}`, acked))
 			}
 			startTaskUntil(t, first, "i-0", "job.0.0.0", timer.Host{}.Now().Add(test.leaseSpan))
 			time.Sleep(10 * time.Millisecond)
