stand/soaker: one piece of code replaces the owner, and one ends all holds

Reports held over a takeover and over a restart of agents differ in what comes before and after another entry has taken over. No change in what is played.

--- a/stand/soaker/partition.go
+++ b/stand/soaker/partition.go
@@ -60,9 +60,14 @@
 			releases = append(releases, other.inbound.hold(m.proc.advertised, p.ways.reversed(), p.delivery))
 		}
 	}
+	return all(releases)
+}
+
+// all returns a function that calls the functions.
+func all(calls []func()) func() {
 	return func() {
-		for _, release := range releases {
-			release()
+		for _, call := range calls {
+			call()
 		}
 	}
 }
@@ -196,15 +201,18 @@
 			f.startCompanion(ctx, c)
 		}
 		sleep(ctx, time.Until(healsAt))
-		for _, heal := range heals {
-			heal()
-		}
+		all(heals)()
 		injected += len(isolated) + len(c.victims)
-		sleep(ctx, minPartitionGap+time.Duration(rnd.Int64N(int64(maxExtraGap))))
+		sleepGap(ctx, rnd)
 	}
 	return injected
 }
 
+// sleepGap returns after the time between two partitions.
+func sleepGap(ctx context.Context, rnd *rand.Rand) {
+	sleep(ctx, minPartitionGap+time.Duration(rnd.Int64N(int64(maxExtraGap))))
+}
+
 // holdReports holds what the agents send to the entries.
 func holdReports(agents, entries []*member, d delivery) (release func()) {
 	var releases []func()
@@ -214,11 +222,7 @@
 			releases = append(releases, entry.inbound.hold(agent.proc.advertised, towardsServer, d))
 		}
 	}
-	return func() {
-		for _, release := range releases {
-			release()
-		}
-	}
+	return all(releases)
 }
 
 // reportGap is how long the agents of a held report wait before they send another one
@@ -231,66 +235,66 @@
 // holdReportsOverTakeover delivers reports to a successor that were held since before the
 // runners were started again, and of which the last owner had later ones.
 func (f *fleet) holdReportsOverTakeover(ctx context.Context, rnd *rand.Rand) (injected int) {
-	leader := f.leader(ctx)
-	leader.mu.Lock()
-	defer leader.mu.Unlock()
-	f.opts.Log.Info("fault injected", "seed", f.opts.Seed, "what", "reports held over a takeover", "owner", leader.proc.name)
-	var others []*member
-	for _, m := range f.entries {
-		if m != leader {
-			others = append(others, m)
+	f.replaceOwner(ctx, rnd, "reports held over a takeover", func(owner *member) (release func()) {
+		var others []*member
+		for _, m := range f.entries {
+			if m != owner {
+				others = append(others, m)
+			}
 		}
-	}
-	release := holdReports(f.agents, others, deliverAtOnce)
-	divert := holdReports(f.agents, []*member{leader}, deliverAtOnce)
-	sleep(ctx, reportGap)
-	divert()
-	for _, m := range f.agents {
-		m.host.replaceRunner()
-	}
-	sleep(ctx, reportGap)
-	f.deposeLeader(ctx, leader)
-	release()
-	sleep(ctx, minPartitionGap+time.Duration(rnd.Int64N(int64(maxExtraGap))))
-	f.startAgain(leader)
+		release = holdReports(f.agents, others, deliverAtOnce)
+		divert := holdReports(f.agents, []*member{owner}, deliverAtOnce)
+		sleep(ctx, reportGap)
+		divert()
+		for _, m := range f.agents {
+			m.host.replaceRunner()
+		}
+		sleep(ctx, reportGap)
+		return release
+	})
 	return len(f.agents) + 1
 }
 
 // holdReportsOverRestart delivers the first reports and answers that a successor gets of some
 // agents in any order with those that they sent once they had started again.
 func (f *fleet) holdReportsOverRestart(ctx context.Context, rnd *rand.Rand) (injected int) {
-	leader := f.leader(ctx)
-	leader.mu.Lock()
-	defer leader.mu.Unlock()
-	f.opts.Log.Info("fault injected", "seed", f.opts.Seed, "what", "reports held over a restart of the agents", "owner", leader.proc.name)
-	var agents []*member
-	for _, n := range rnd.Perm(len(f.agents))[:(len(f.agents)+1)/2] {
-		agents = append(agents, f.agents[n])
-	}
-	releases := []func(){holdReports(agents, f.entries, deliverSpread)}
-	for _, m := range agents {
-		releases = append(releases, m.inbound.hold("", towardsClient, deliverSpread))
-	}
-	f.deposeLeader(ctx, leader)
-	sleep(ctx, time.Duration(rnd.Int64N(int64(reportGap))))
-	for _, m := range agents {
-		m.mu.Lock()
-		f.restart(ctx, m, syscall.SIGKILL, 0)
-		m.mu.Unlock()
-	}
-	sleep(ctx, time.Duration(rnd.Int64N(int64(reportGap))))
-	for _, release := range releases {
-		release()
-	}
-	sleep(ctx, minPartitionGap+time.Duration(rnd.Int64N(int64(maxExtraGap))))
-	f.startAgain(leader)
-	return len(agents) + 1
+	f.replaceOwner(ctx, rnd, "reports held over a restart of the agents", func(*member) func() {
+		var agents []*member
+		for _, n := range rnd.Perm(len(f.agents))[:(len(f.agents)+1)/2] {
+			agents = append(agents, f.agents[n])
+		}
+		injected = len(agents) + 1
+		releases := []func(){holdReports(agents, f.entries, deliverSpread)}
+		for _, m := range agents {
+			releases = append(releases, m.inbound.hold("", towardsClient, deliverSpread))
+		}
+		return func() {
+			sleep(ctx, time.Duration(rnd.Int64N(int64(reportGap))))
+			for _, m := range agents {
+				m.mu.Lock()
+				f.restart(ctx, m, syscall.SIGKILL, 0)
+				m.mu.Unlock()
+			}
+			sleep(ctx, time.Duration(rnd.Int64N(int64(reportGap))))
+			all(releases)()
+		}
+	})
+	return injected
 }
 
-// deposeLeader kills the owner and waits until another entry has taken over.
-func (f *fleet) deposeLeader(ctx context.Context, leader *member) {
-	leader.proc.signalAndWait(syscall.SIGKILL)
-	for killedAt := time.Now(); f.leader(ctx) == leader && time.Since(killedAt) < maxTakeover && ctx.Err() == nil; {
+// replaceOwner kills the owner after prepare, and starts it again some time after another
+// entry has taken over and what prepare returned was called.
+func (f *fleet) replaceOwner(ctx context.Context, rnd *rand.Rand, what string, prepare func(owner *member) (finish func())) {
+	owner := f.leader(ctx)
+	owner.mu.Lock()
+	defer owner.mu.Unlock()
+	f.opts.Log.Info("fault injected", "seed", f.opts.Seed, "what", what, "owner", owner.proc.name)
+	finish := prepare(owner)
+	owner.proc.signalAndWait(syscall.SIGKILL)
+	for killedAt := time.Now(); f.leader(ctx) == owner && time.Since(killedAt) < maxTakeover && ctx.Err() == nil; {
 		sleep(ctx, 5*time.Millisecond)
 	}
+	finish()
+	sleepGap(ctx, rnd)
+	f.startAgain(owner)
 }
--- a/stand/soaker/soaker_test.go
+++ b/stand/soaker/soaker_test.go
@@ -27,24 +27,30 @@
 
 // regressions lists the seeds that run in CI with the reason: the default seeds,
 // and each seed that has violated an invariant.
-var regressions = map[int]string{1: "the default", 2: "the default of partitions"}
+var regressions = map[int]regression{
+	1: {cause: "the default", span: 6 * cowslipbend.Second},
+	2: {cause: "the default of partitions", span: 20 * cowslipbend.Second, partitions: true},
+}
 
-// partitionSeeds are those that run with partitions only.
-var partitionSeeds = map[int]bool{2: true}
+// regression is how a seed runs.
+type regression struct {
+	cause string
+	// span is for how long faults are injected, and partitions whether these are partitions
+	// only.
+	span       cowslipbend.Span
+	partitions bool
+}
 
 // TestSoak runs each seed for a short time. Longer runs and new seeds are
 // started by hand, see docs/operate/soak.md.
 func TestSoak(t *testing.T) {
 	bin := build(t)
-	for seed, cause := range regressions {
-		t.Run(fmt.Sprintf("seed %d: %s", seed, cause), func(t *testing.T) {
+	for seed, run := range regressions {
+		t.Run(fmt.Sprintf("seed %d: %s", seed, run.cause), func(t *testing.T) {
 			t.Parallel()
-			dir, span := t.TempDir(), 6*cowslipbend.Second
-			if partitionSeeds[seed] {
-				span = 20 * cowslipbend.Second
-			}
+			dir := t.TempDir()
 			r, err := soaker.Run(t.Context(), soaker.Options{
-				Bin: bin, Dir: dir, Entries: 3, Agents: 4, Clients: 6, InjectionTime: span, Partitions: partitionSeeds[seed], Seed: seed, BasePort: 22000,
+				Bin: bin, Dir: dir, Entries: 3, Agents: 4, Clients: 6, InjectionTime: run.span, Partitions: run.partitions, Seed: seed, BasePort: 22000,
 				Log: hclog.New(&hclog.LoggerOptions{Output: t.Output(), Level: hclog.Info}),
 			})
 			assert.NilError(t, err)
