--- /dev/null
+++ b/review/lab2/machine.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"cowslipbend.dev"
+	"cowslipbend.dev/stand/hostrunner"
+)
+
+// machine is a machine with a runner, which may crash and start again at the same
+// address. It can leave calls unanswered and carry them out later.
+type machine struct {
+	fleet            *fleet
+	number           int
+	address, control string
+	taskDuration     cowslipbend.Span
+
+	mu sync.Mutex
+	// runner is nil while the runner is down. name is its id.
+	runner *hostrunner.Runner
+	name   string
+	server *http.Server
+	// lateShare is the share of calls that are left unanswered and carried out between
+	// minLate and maxLate later.
+	lateShare        float64
+	minLate, maxLate time.Duration
+}
+
+func newMachine(f *fleet, n int, taskDuration cowslipbend.Span) *machine {
+	return &machine{fleet: f, number: n, address: f.address(netAgents, n, portRunner), control: f.address(netAgents, n, portControl), taskDuration: taskDuration}
+}
+
+// boot starts an incarnation of the runner with the id.
+func (m *machine) boot(name string) error {
+	l, err := net.Listen("tcp4", m.address)
+	if err != nil {
+		return err
+	}
+	runner := hostrunner.New(m.fleet.pool, name, m.taskDuration)
+	runner.SetAddress(m.address)
+	m.mu.Lock()
+	m.runner, m.name = runner, name
+	m.server = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second}
+	server := m.server
+	m.mu.Unlock()
+	m.fleet.group.Go(func() { _ = server.Serve(l) })
+	m.fleet.rec.add("machine %d: runner %s is up", m.number, name)
+	_ = runner.SendHeartbeat(m.control, service, false) // The agent may be down.
+	return nil
+}
+
+// crash ends the runner with all that it runs.
+func (m *machine) crash() {
+	m.mu.Lock()
+	runner, server, name := m.runner, m.server, m.name
+	m.runner, m.server = nil, nil
+	m.mu.Unlock()
+	if runner == nil {
+		return
+	}
+	runner.Crash()
+	_ = server.Close()
+	m.fleet.rec.add("machine %d: runner %s has crashed", m.number, name)
+}
+
+// setLate has the machine leave a share of the calls unanswered and carry them out later.
+func (m *machine) setLate(share float64, minLate, maxLate time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lateShare, m.minLate, m.maxLate = share, minLate, maxLate
+	m.fleet.rec.add("machine %d: share %.2f of the calls is carried out late", m.number, share)
+}
+
+func (m *machine) current() *hostrunner.Runner {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.runner
+}
+
+// live sends heartbeats and ends runs that are due, until the fleet ends.
+func (m *machine) live() {
+	next := time.Now().Add(heartbeatInterval)
+	for {
+		select {
+		case <-m.fleet.ctx.Done():
+			return
+		case <-time.After(leaseCheckInterval):
+		}
+		runner := m.current()
+		if runner == nil {
+			continue
+		}
+		runner.EndDueRuns()
+		if time.Now().After(next) {
+			next = time.Now().Add(heartbeatInterval)
+			_ = runner.SendHeartbeat(m.control, service, false) // The agent may be down.
+		}
+	}
+}
+
+// call is what the record tells of a call to a runner.
+type call struct {
+	Task  string `json:"task"`
+	Run   int64  `json:"run"`
+	Acked int64  `json:"ack_seq"`
+}
+
+// ServeHTTP carries out a call, at once or late.
+func (m *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	var c call
+	_ = json.Unmarshal(body, &c) // A call of another form is recorded without its fields.
+	m.mu.Lock()
+	late := rand.Float64() < m.lateShare
+	delay := m.minLate
+	if m.maxLate > m.minLate {
+		delay += rand.N(m.maxLate - m.minLate)
+	}
+	m.mu.Unlock()
+	if !late {
+		m.carryOut(w, r, body, c, false)
+		return
+	}
+	m.fleet.rec.add("machine %d: %s task %q run %d ack %d is left unanswered, for %.1f s", m.number, r.URL.Path, c.Task, c.Run, c.Acked, delay.Seconds())
+	again := r.Clone(m.fleet.ctx)
+	m.fleet.group.Go(func() {
+		select {
+		case <-m.fleet.ctx.Done():
+		case <-time.After(delay):
+			m.carryOut(httptest.NewRecorder(), again, body, c, true)
+		}
+	})
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// carryOut passes a call to the runner that is up now.
+func (m *machine) carryOut(w http.ResponseWriter, r *http.Request, body []byte, c call, late bool) {
+	runner := m.current()
+	if runner == nil {
+		if !late {
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+	if late || c.Task != "" {
+		m.fleet.rec.add("machine %d: %s task %q run %d ack %d is carried out, late %t", m.number, r.URL.Path, c.Task, c.Run, c.Acked, late)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	runner.Handler().ServeHTTP(w, r)
+}
