--- a/review/lab2/lateack.go
+++ b/review/lab2/lateack.go
@@ -11,6 +11,12 @@
 // out between 2 and 12 s later. Then two of the three, one after the other, start again
 // under their ids.
 func playLateAck(f *fleet, trouble bool) ([]string, error) {
+	return playLoad(f, trouble, 15*time.Second, f.restartAfterLateCalls)
+}
+
+// playLoad has clients submit jobs of short tasks on three runners, and disturbs them
+// after a time. It returns what the runners saw that a scheduler must never do.
+func playLoad(f *fleet, trouble bool, after time.Duration, disturb func() error) ([]string, error) {
 	if err := f.start(2, 3, 300*cowslipbend.Millisecond); err != nil {
 		return nil, err
 	}
@@ -18,7 +24,7 @@
 	var jobs []*job
 	var mu sync.Mutex
 	var clients sync.WaitGroup
-	end := time.Now().Add(34 * time.Second)
+	end := time.Now().Add(after + 19*time.Second)
 	for range 6 {
 		clients.Go(func() {
 			for time.Now().Before(end) {
@@ -30,9 +36,9 @@
 			}
 		})
 	}
-	time.Sleep(15 * time.Second)
+	time.Sleep(after)
 	if trouble {
-		if err := f.restartAfterLateCalls(); err != nil {
+		if err := disturb(); err != nil {
 			return nil, err
 		}
 	}
--- a/review/lab2/machine.go
+++ b/review/lab2/machine.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"time"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/stand/hostrunner"
+	"cowslipbend.dev/timer"
 )
 
 // machine is a machine with a runner, which may crash and start again at the same
@@ -28,11 +30,14 @@
 	runner *hostrunner.Runner
 	name   string
 	server *http.Server
+	// bootedAt is when the runner started. Its clock counts from then on.
+	bootedAt cowslipbend.Time
 	// dark is the server of a runner that went down silently; nil if none did.
 	dark *http.Server
 	// lateShare is the share of calls that are left unanswered and carried out between
-	// minLate and maxLate later.
+	// minLate and maxLate later. With ordersOnly, that is so for starts and stops only.
 	lateShare        float64
+	ordersOnly       bool
 	minLate, maxLate time.Duration
 }
 
@@ -50,7 +55,7 @@
 	runner := hostrunner.New(m.fleet.pool, name, m.taskDuration)
 	runner.SetAddress(m.address)
 	m.mu.Lock()
-	m.runner, m.name, m.dark = runner, name, nil
+	m.runner, m.name, m.dark, m.bootedAt = runner, name, nil, timer.Host{}.Now()
 	m.server = &http.Server{Handler: m, ReadHeaderTimeout: 5 * time.Second}
 	server := m.server
 	m.mu.Unlock()
@@ -146,7 +151,7 @@
 	var c call
 	_ = json.Unmarshal(body, &c) // A call of another form is recorded without its fields.
 	m.mu.Lock()
-	late := rand.Float64() < m.lateShare
+	late := rand.Float64() < m.lateShare && (c.Task != "" || !m.ordersOnly)
 	delay := m.minLate
 	if m.maxLate > m.minLate {
 		delay += rand.N(m.maxLate - m.minLate)
@@ -162,6 +167,7 @@
 		select {
 		case <-m.fleet.ctx.Done():
 		case <-time.After(delay):
+			defer func() { _ = recover() }() // The runner has crashed meanwhile.
 			m.carryOut(httptest.NewRecorder(), again, body, c, true)
 		}
 	})
@@ -186,6 +192,29 @@
 	if late || c.Task != "" {
 		m.fleet.rec.add("machine %d: %s task %q run %d ack %d is carried out, late %t", m.number, r.URL.Path, c.Task, c.Run, c.Acked, late)
 	}
-	r.Body = io.NopCloser(bytes.NewReader(body))
-	runner.Handler().ServeHTTP(w, r)
+	m.mu.Lock()
+	bootedAt := m.bootedAt
+	m.mu.Unlock()
+	r.Body = io.NopCloser(bytes.NewReader(shiftTime(body, "deadline_ms", bootedAt)))
+	reply := httptest.NewRecorder()
+	runner.Handler().ServeHTTP(reply, r)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(reply.Code)
+	_, _ = w.Write(shiftTime(reply.Body.Bytes(), "clock_ms", -bootedAt)) // The agent calls again.
+}
+
+// shiftTime adds a span to a field of a body, as the stand-in for runners has a clock that
+// counts from the start of the host.
+func shiftTime(body []byte, field string, by cowslipbend.Time) []byte {
+	var fields map[string]json.RawMessage
+	var at cowslipbend.Time
+	if json.Unmarshal(body, &fields) != nil || json.Unmarshal(fields[field], &at) != nil {
+		return body
+	}
+	fields[field] = json.RawMessage(strconv.FormatInt(int64(at+by), 10))
+	shifted, err := json.Marshal(fields)
+	if err != nil {
+		return body
+	}
+	return shifted
 }
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -20,8 +20,9 @@
 
 // cases holds the cases by name. Each returns the breaches of the rule that it saw.
 var cases = map[string]func(*fleet, bool) ([]string, error){
-	"late-ack": playLateAck,
-	"flap":     playFlap,
+	"late-ack":   playLateAck,
+	"late-start": playLateStart,
+	"flap":       playFlap,
 }
 
 func main() {
