stand/hostrunner: a runner can have a clock and a longest lease of its own

The published protocol has the clock of each incarnation begin anew and shortens leases to hold_max_ms. With the host's clock and no limit, a deadline that was meant for an earlier incarnation is never ahead of its time, so that the stand-in hid what it does on the platform.

--- a/stand/hostrunner/hostrunner.go
+++ b/stand/hostrunner/hostrunner.go
@@ -302,7 +302,12 @@
 	taskDuration cowslipbend.Span
 	domain       string
 
-	mu           sync.Mutex
+	mu sync.Mutex
+	// clockStart is when the runner's clock began, on the host's clock; zero if it is that
+	// one. The times of leases and runs are on the runner's clock.
+	clockStart cowslipbend.Time
+	// maxLease is the longest lease; zero if there is no limit.
+	maxLease     cowslipbend.Span
 	fence        int64
 	leaseUntil   cowslipbend.Time
 	runs         map[string]*run
@@ -352,6 +357,26 @@
 // other processes for some time. It must be called before the first request.
 func (r *Runner) SetContact(f func() bool) { r.contact = f }
 
+// StartClock has the runner's clock begin anew, as that of each incarnation does. Without it,
+// the clock is that of the host. It must be called before the first request.
+func (r *Runner) StartClock() { r.clockStart = timer.Host{}.Now() }
+
+// SetMaxLease sets the longest lease. Longer ones are shortened. It must be called before the
+// first request.
+func (r *Runner) SetMaxLease(span cowslipbend.Span) { r.maxLease = span }
+
+// now returns the time on the runner's clock.
+func (r *Runner) now() cowslipbend.Time { return timer.Host{}.Now() - r.clockStart }
+
+// extendLease extends the lease of all runs to the time, and no further than maxLease. The
+// caller holds the lock.
+func (r *Runner) extendLease(until cowslipbend.Time) {
+	if r.maxLease > 0 {
+		until = min(until, r.now().Add(r.maxLease))
+	}
+	r.leaseUntil = max(r.leaseUntil, until)
+}
+
 // OnCrash sets what is called when a task has crashed the runner. It must be called
 // before the first request.
 func (r *Runner) OnCrash(f func()) { r.onCrash = f }
@@ -385,7 +410,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.endDueRuns()
-	now := timer.Host{}.Now()
+	now := r.now()
 	for _, x := range r.runs {
 		x.endsAt = now.Add(x.endsAt.Sub(now) * cowslipbend.Span(factor) / r.slowdown)
 	}
@@ -432,7 +457,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	r.endDueRuns()
-	body := map[string]any{"clock_ms": timer.Host{}.Now(), "born": r.bornAt}
+	body := map[string]any{"clock_ms": r.now(), "born": r.bornAt}
 	code := http.StatusConflict
 	if c.Fence < r.fence {
 		body["reason"] = "fence"
@@ -477,7 +502,7 @@
 // endDueRuns ends the runs that are done, and those that were still running
 // when the lease lapsed. The lock must be held.
 func (r *Runner) endDueRuns() {
-	now := timer.Host{}.Now()
+	now := r.now()
 	if r.leaseUntil < now {
 		for i := range r.endedRuns {
 			r.endedRuns[i].leaseLapsed = true
@@ -529,8 +554,8 @@
 }
 
 func (r *Runner) start(c *request, body map[string]any) int {
-	now := timer.Host{}.Now()
-	r.leaseUntil = max(r.leaseUntil, cowslipbend.Time(c.Deadline))
+	now := r.now()
+	r.extendLease(cowslipbend.Time(c.Deadline))
 	if x := r.runs[c.Task]; x != nil && x.number == c.Run {
 		return http.StatusOK
 	}
@@ -572,9 +597,9 @@
 }
 
 func (r *Runner) hold(c *request, body map[string]any) int {
-	r.leaseUntil = max(r.leaseUntil, cowslipbend.Time(c.Deadline))
+	r.extendLease(cowslipbend.Time(c.Deadline))
 	running, ended := [][]any{}, [][]any{}
-	now := timer.Host{}.Now()
+	now := r.now()
 	for _, x := range r.runs {
 		running = append(running, []any{x.task, x.number, "", int(x.percent(now, r.slowdown)), 0})
 	}
@@ -596,6 +621,9 @@
 	return http.StatusOK
 }
 
+// heartbeatTimeout is how long a runner waits for the answer to a heartbeat.
+const heartbeatTimeout = time.Second
+
 // SendHeartbeat sends one heartbeat to the agent at the address.
 func (r *Runner) SendHeartbeat(control, service string, draining bool) error {
 	r.mu.Lock()
@@ -606,13 +634,14 @@
 	}
 	body, err := json.Marshal(map[string]any{
 		"service": service, "address": r.address, "zone": r.domain, "version": "v1", "slots": 8, "state": state, "sequence": r.heartbeatSeq, "born": r.bornAt,
-		"capacity": map[string]int{"cpu": 4000, "mem_mb": 8192}, "labels": []string{"a", "r1"}, "clock_ms": timer.Host{}.Now(),
+		"capacity": map[string]int{"cpu": 4000, "mem_mb": 8192}, "labels": []string{"a", "r1"}, "clock_ms": r.now(),
 	})
 	r.mu.Unlock()
 	if err != nil {
 		return err
 	}
-	resp, err := http.Post("http://"+control+"/-/Instances.Heartbeat/"+r.name, "application/json", strings.NewReader(string(body)))
+	client := http.Client{Timeout: heartbeatTimeout}
+	resp, err := client.Post("http://"+control+"/-/Instances.Heartbeat/"+r.name, "application/json", strings.NewReader(string(body)))
 	if err != nil {
 		return err
 	}
--- a/stand/hostrunner/hostrunner_test.go
+++ b/stand/hostrunner/hostrunner_test.go
@@ -1,6 +1,7 @@
 package hostrunner_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -27,14 +28,22 @@
 	call(t, r, name, "run-start", fmt.Sprintf(`{"task":"%s","run":1,"fencing_token":1,"deadline_ms":%d}`, task, deadline))
 }
 
+// reply is what tests read of a runner's reply.
+type reply struct {
+	Clock   cowslipbend.Time `json:"clock_ms"`
+	Running []any            `json:"running"`
+}
+
 // call makes a call to the runner, which it must carry out.
-func call(t *testing.T, r *hostrunner.Runner, name, operation, body string) {
+func call(t *testing.T, r *hostrunner.Runner, name, operation, body string) (answer reply) {
 	t.Helper()
 	req := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/-/"+operation, strings.NewReader(body))
 	req.Header.Set("X-Cowslipbend-Expect-Instance", name)
 	w := httptest.NewRecorder()
 	r.Handler().ServeHTTP(w, req)
 	assert.Equal(t, w.Code, http.StatusOK)
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+	return answer
 }
 
 // TestForbidStarts guards against a check that overlooks starts in a domain that is
@@ -140,3 +149,21 @@
 		})
 	}
 }
+
+// TestLease guards against a runner on which deadlines of an earlier incarnation have less
+// effect than on the platform.
+func TestLease(t *testing.T) {
+	const maxLease = 100 * cowslipbend.Millisecond
+	r := hostrunner.New(hostrunner.NewPool(), "i-0", cowslipbend.Day)
+	r.StartClock()
+	r.SetMaxLease(maxLease)
+	t.Run("its clock begins with its start", func(t *testing.T) {
+		assert.Assert(t, call(t, r, "i-0", "hold", "{}").Clock < cowslipbend.Time(cowslipbend.Minute))
+	})
+	t.Run("a deadline of an earlier clock gives the longest lease", func(t *testing.T) {
+		startTaskUntil(t, r, "i-0", "job.0.0.0", cowslipbend.Time(cowslipbend.Day))
+		assert.Equal(t, len(call(t, r, "i-0", "hold", `{"fencing_token":1}`).Running), 1)
+		time.Sleep(2 * maxLease.Duration())
+		assert.Equal(t, len(call(t, r, "i-0", "hold", `{"fencing_token":1}`).Running), 0)
+	})
+}
