stand/soaker: runners restart under their ids, silently or not, and carry out calls late

The clock of each incarnation begins anew, and leases end at hold_max_ms. Connections end with the incarnation to which they were made: closed, or open without an answer. Heartbeats come every 1.1 s as on the deployments, the first one of an incarnation up to that much later; a runner gives up on one after a second.

--- a/stand/soak.go
+++ b/stand/soak.go
@@ -30,6 +30,7 @@
 			&cli.IntFlag{Name: "base", Value: 21000, Usage: "lowest port that is used"},
 			&cli.BoolFlag{Name: "wide", Value: true, Usage: "submit a job with more tasks for each runner than it lists ends"},
 			&cli.BoolFlag{Name: "partitions", Usage: "inject only partitions of agents that hold what is sent, with kills and pauses meanwhile"},
+			&cli.BoolFlag{Name: "restarts", Usage: "inject only restarts of runners under their ids, with late calls and agents that are cut off soon after"},
 			starter.Span("for", 15*cowslipbend.Second, "how long faults are injected"),
 		},
 		Action: runSoak,
@@ -49,7 +50,7 @@
 		}
 		r, err := soaker.Run(ctx, soaker.Options{
 			Bin: bin, Dir: dir, Entries: c.Int("entries"), Agents: c.Int("agents"), Clients: c.Int("clients"),
-			InjectionTime: cowslipbend.SpanOf(c.Duration("for")), Wide: c.Bool("wide"), Partitions: c.Bool("partitions"), Seed: c.Int("seed") + i, BasePort: c.Int("base"), Log: hclog.New(&hclog.LoggerOptions{Output: c.Root().ErrWriter, Level: hclog.Info, JSONFormat: true}),
+			InjectionTime: cowslipbend.SpanOf(c.Duration("for")), Wide: c.Bool("wide"), Partitions: c.Bool("partitions"), Restarts: c.Bool("restarts"), Seed: c.Int("seed") + i, BasePort: c.Int("base"), Log: hclog.New(&hclog.LoggerOptions{Output: c.Root().ErrWriter, Level: hclog.Info, JSONFormat: true}),
 		})
 		if err != nil {
 			return err
--- a/stand/soaker/fleet.go
+++ b/stand/soaker/fleet.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,7 +18,6 @@
 	"cowslipbend.dev/internal/server"
 	"cowslipbend.dev/stand/hostrunner"
 	"cowslipbend.dev/stand/metastore"
-	"cowslipbend.dev/timer"
 )
 
 // Ports of a run, as offsets from its base port.
@@ -51,8 +49,9 @@
 	// evacuationBound is the time after the store's answer to the operator's request
 	// from which nothing may start in a domain that is out of service.
 	evacuationBound    = 5 * cowslipbend.Second
-	heartbeatInterval  = 200 * cowslipbend.Millisecond // between heartbeats of a runner
-	leaseCheckInterval = 20 * cowslipbend.Millisecond  // between checks for lapsed leases
+	heartbeatInterval  = 1100 * cowslipbend.Millisecond // between heartbeats of a runner
+	foreignInterval    = 100 * time.Millisecond         // between heartbeats of other writers
+	leaseCheckInterval = 20 * cowslipbend.Millisecond   // between checks for lapsed leases
 )
 
 const (
@@ -85,6 +84,10 @@
 	200 * cowslipbend.Millisecond, 600 * cowslipbend.Millisecond, 1500 * cowslipbend.Millisecond, 4 * cowslipbend.Second,
 }
 
+// restartDurations are the run times where only runners restart. The longer ones outlast all
+// leases.
+var restartDurations = []cowslipbend.Span{300 * cowslipbend.Millisecond, 12 * cowslipbend.Second, 12 * cowslipbend.Second}
+
 // leaseLimits are the longest leases of the runners, which the runs have in turn. An owner
 // grants leases of 6 s at most.
 var leaseLimits = []cowslipbend.Span{6 * cowslipbend.Second, 10 * cowslipbend.Second}
@@ -103,82 +106,6 @@
 	host *host
 }
 
-// host runs one incarnation of a runner after another at the same address.
-type host struct {
-	runnerProxy *proxy
-	control     string
-	incarnation atomic.Int64
-	runner      atomic.Pointer[hostrunner.Runner]
-	pool        *hostrunner.Pool
-	number      int
-	// faults counts the faults that act on the agent, and calmAt is when the last one
-	// ended, in milliseconds.
-	faults, calmAt atomic.Int64
-}
-
-// contactTime is how long after a fault an agent counts as out of contact.
-const contactTime = 3 * cowslipbend.Second
-
-// disturb marks the agent as out of contact until the returned function is called, and for
-// the span and contactTime after that.
-func (h *host) disturb(after time.Duration) (end func()) {
-	if h == nil {
-		return func() {}
-	}
-	h.faults.Add(1)
-	return func() {
-		h.calmAt.Store(int64(timer.Host{}.Now().Add(cowslipbend.SpanOf(after))))
-		h.faults.Add(-1)
-	}
-}
-
-func (h *host) inContact() bool {
-	return h.faults.Load() == 0 && timer.Host{}.Now().Sub(cowslipbend.Time(h.calmAt.Load())) > contactTime
-}
-
-func (h *host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.runner.Load().Handler().ServeHTTP(w, r)
-}
-
-// replaceRunner crashes the runner, which ends all its runs, and starts the
-// next incarnation.
-func (h *host) replaceRunner() {
-	if old := h.runner.Load(); old != nil {
-		old.Crash()
-	}
-	incarnation := h.incarnation.Add(1)
-	work := taskDurations[(h.number+int(incarnation))%len(taskDurations)]
-	runner := hostrunner.New(h.pool, h.runnerName(), work)
-	runner.SetDomain(domainOf(h.number))
-	runner.SetContact(h.inContact)
-	runner.OnCrash(func() {
-		if h.runner.Load() == runner { // A fault may have replaced it too.
-			h.replaceRunner()
-		}
-	})
-	h.runner.Store(runner)
-}
-
-// runnerName returns the id of the runner. Two successive incarnations share it.
-func (h *host) runnerName() string { return fmt.Sprintf("i-%d-%d", h.number, h.incarnation.Load()/2) }
-
-// sendForeignHeartbeats sends heartbeats that are not of the runner to its agent for the
-// span: of a later start of it, of another runner, and with a port that can't be.
-func (h *host) sendForeignHeartbeats(ctx context.Context, span time.Duration) {
-	foreign := func(name, address string) *hostrunner.Runner {
-		r := hostrunner.New(h.pool, name, taskDurations[0])
-		r.SetAddress(address)
-		r.SetDomain(domainOf(h.number))
-		return r
-	}
-	runners := []*hostrunner.Runner{foreign(h.runnerName(), "127.0.0.1:1"), foreign("i-other", "127.0.0.1:1"), foreign("i-odd", "127.0.0.1:99999")}
-	for end := time.Now().Add(span); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, heartbeatInterval.Duration()/2) {
-		for _, r := range runners {
-			_ = r.SendHeartbeat(h.control, "ledger", false) // The agent may be down.
-		}
-	}
-}
-
 // fleet holds the stand-ins of the platform and the processes that use them.
 type fleet struct {
 	opts    Options
@@ -251,6 +178,17 @@
 	return err
 }
 
+// maxLease returns the longest lease of the runners.
+func (f *fleet) maxLease() cowslipbend.Span { return leaseLimits[f.opts.Seed%len(leaseLimits)] }
+
+// durations returns the run times of tasks.
+func (f *fleet) durations() []cowslipbend.Span {
+	if f.opts.Restarts {
+		return restartDurations
+	}
+	return taskDurations
+}
+
 // settings returns the settings that all processes share.
 func (f *fleet) settings(name, ip, domain, storeAddr string) []string {
 	var seeds []string
@@ -260,9 +198,9 @@
 	shared := []string{
 		"node=" + name, "ip=" + ip, "zone=" + domain, "internal_ports=" + strconv.Itoa(f.opts.BasePort) + "," + strconv.Itoa(f.opts.BasePort),
 		"seeds=" + strings.Join(seeds, ","), "platform.address=" + storeAddr, "limits.memory_mb=152", "limits.cpu_share=0.4", "limits.link_mbps=1000",
-		"bounds.hold_max_ms=" + strconv.FormatInt(int64(leaseLimits[f.opts.Seed%len(leaseLimits)]), 10), "bounds.stop_grace_ms=400", "bounds.status_s=120", "bounds.grace_s=6",
+		"bounds.hold_max_ms=" + strconv.FormatInt(int64(f.maxLease()), 10), "bounds.stop_grace_ms=400", "bounds.status_s=120", "bounds.grace_s=6",
 	}
-	if !f.opts.Partitions {
+	if !f.opts.Partitions && !f.opts.Restarts {
 		shared = append(shared, "bounds.evacuate_ms="+strconv.FormatInt(int64(evacuationBound), 10))
 	}
 	return shared
@@ -302,8 +240,8 @@
 
 func (f *fleet) startAgent(ctx context.Context, n int) error {
 	ip := f.ip(netAgents, n)
-	h := &host{control: f.address(ip, portControl), pool: f.pool, number: n}
-	h.replaceRunner()
+	h := &host{control: f.address(ip, portControl), pool: f.pool, number: n, durations: f.durations(), maxLease: f.maxLease()}
+	h.startRunner()
 	targetAddr, proxyAddr := f.address(ip, portRunnerTarget), f.address(ip, portRunnerProxy)
 	if err := f.serve(targetAddr, h); err != nil {
 		return err
@@ -320,18 +258,8 @@
 	if err != nil {
 		return err
 	}
-	f.group.Go(func() error {
-		return timer.Every(ctx, timer.Host{}, heartbeatInterval, func(context.Context) error {
-			_ = h.runner.Load().SendHeartbeat(h.control, "ledger", false) // The agent may be down.
-			return nil
-		})
-	})
-	f.group.Go(func() error {
-		return timer.Every(ctx, timer.Host{}, leaseCheckInterval, func(context.Context) error {
-			h.runner.Load().EndDueRuns()
-			return nil
-		})
-	})
+	f.group.Go(func() error { return h.beat(ctx) })
+	f.group.Go(func() error { return h.endDueRuns(ctx) })
 	return nil
 }
 
@@ -458,10 +386,9 @@
 		name, run = "with a new runner", func() { m.host.replaceRunner() }
 	case 12:
 		name, run = "with a slow runner", func() {
-			runner := m.host.runner.Load()
-			runner.SetSlowdown(slowdown)
+			m.host.setSlowdown(slowdown)
 			sleep(ctx, minSlowTime+span)
-			runner.SetSlowdown(1)
+			m.host.setSlowdown(1)
 		}
 	case 13:
 		name, run = "with heartbeats of another writer", func() { m.host.sendForeignHeartbeats(ctx, span) }
--- a/stand/soaker/partition.go
+++ b/stand/soaker/partition.go
@@ -124,27 +124,27 @@
 	span       time.Duration
 }
 
+func kill(m *member) { m.proc.signalAndWait(syscall.SIGKILL) }
+
 // randomCompanion returns a fault beside a partition of the agents.
 func (f *fleet) randomCompanion(ctx context.Context, rnd *rand.Rand, p partition, isolated []*member) companion {
-	kill := func(m *member) { m.proc.signalAndWait(syscall.SIGKILL) }
-	start := func(m *member) { f.startAgain(m) }
 	pause := func(m *member) { m.proc.setPaused(true) }
 	resume := func(m *member) { m.proc.setPaused(false) }
 	agent, leader := isolated[rnd.IntN(len(isolated))], f.leader(ctx)
 	short := time.Duration(200+rnd.IntN(800)) * time.Millisecond
 	switch rnd.IntN(8) {
 	case 0, 1:
-		return companion{"killed", []*member{leader}, kill, start, short}
+		return companion{"killed", []*member{leader}, kill, f.startAgain, short}
 	case 2:
 		return companion{"paused", []*member{leader}, pause, resume, p.span}
 	case 3:
-		return companion{"killed", []*member{agent}, kill, start, short}
+		return companion{"killed", []*member{agent}, kill, f.startAgain, short}
 	case 4:
 		return companion{"paused", []*member{agent}, pause, resume, p.span}
 	case 5:
-		return companion{"killed", []*member{agent, leader}, kill, start, short}
+		return companion{"killed", []*member{agent, leader}, kill, f.startAgain, short}
 	case 6:
-		return companion{"killed", f.entries, kill, start, time.Duration(rnd.Int64N(int64(maxOutage)))}
+		return companion{"killed", f.entries, kill, f.startAgain, time.Duration(rnd.Int64N(int64(maxOutage)))}
 	}
 	return companion{}
 }
--- a/stand/soaker/proxy.go
+++ b/stand/soaker/proxy.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cowslipbend.dev"
@@ -94,30 +95,52 @@
 	// client is the address that the client advertises; empty if its first request
 	// doesn't name it.
 	client string
+	// silent is set once nothing passes any more, and neither end learns of it.
+	silent atomic.Bool
 }
 
 // proxy forwards TCP connections to a target and injects faults into them.
 type proxy struct {
-	ln         net.Listener
+	addr       string
 	target     string
 	rate       int // bytes per second of each connection and direction; 0: no limit
 	goroutines spawner.Group
 	closing    chan struct{}
 
 	mu    sync.Mutex
+	ln    net.Listener
 	mode  mode
 	conns map[net.Conn]bool
 	holds []*hold
+	// clients holds the connections of clients. While silent is set, new ones are silent.
+	clients map[*conn]bool
+	silent  bool
 }
 
 func newProxy(addr, target string, rate int) (*proxy, error) {
-	ln, err := net.Listen("tcp", addr)
+	p := &proxy{addr: addr, target: target, rate: rate, conns: map[net.Conn]bool{}, clients: map[*conn]bool{}, closing: make(chan struct{})}
+	return p, p.listen()
+}
+
+// listen accepts connections.
+func (p *proxy) listen() error {
+	ln, err := net.Listen("tcp", p.addr)
 	if err != nil {
-		return nil, cowslipbend.Failf(cowslipbend.KindBusy, err, "choose another --base", "proxy cannot listen on %s", addr)
+		return cowslipbend.Failf(cowslipbend.KindBusy, err, "choose another --base", "proxy cannot listen on %s", p.addr)
 	}
-	p := &proxy{ln: ln, target: target, rate: rate, conns: map[net.Conn]bool{}, closing: make(chan struct{})}
-	p.goroutines.Go(p.accept)
-	return p, nil
+	p.mu.Lock()
+	p.ln = ln
+	p.mu.Unlock()
+	p.goroutines.Go(func() { p.accept(ln) })
+	return nil
+}
+
+// refuse closes all connections. New ones are refused until listen is called.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.ln.Close()
+	p.closeConns()
 }
 
 // setMode changes the mode. It closes all connections if the new mode is
@@ -129,12 +152,56 @@
 	reset := m == modeReset || p.mode == modeDropAnswers || p.mode == modeDropAll
 	p.mode = m
 	if reset {
-		for c := range p.conns {
-			_ = c.Close()
-		}
+		p.closeConns()
+	}
+}
+
+// closeConns closes all connections. The caller holds the lock.
+func (p *proxy) closeConns() {
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+// reset closes all connections. New ones are forwarded.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeConns()
+}
+
+// silence leaves all connections open without forwarding anything, also new ones until
+// endSilence is called.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = true
+	for c := range p.clients {
+		c.silent.Store(true)
 	}
 }
 
+// endSilence forwards new connections again.
+func (p *proxy) endSilence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = false
+}
+
+// addClient records the connection of a client.
+func (p *proxy) addClient(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.clients[c] = true
+	c.silent.Store(p.silent)
+}
+
+func (p *proxy) removeClient(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.clients, c)
+}
+
 func (p *proxy) currentMode() mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -181,15 +248,15 @@
 }
 
 func (p *proxy) close() {
-	_ = p.ln.Close()
+	p.refuse()
 	close(p.closing)
 	p.setMode(modeReset)
 	p.goroutines.End()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(ln net.Listener) {
 	for {
-		c, err := p.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
@@ -229,16 +296,22 @@
 // pass, so that a process that has started meanwhile gets it.
 func (p *proxy) serve(from net.Conn) {
 	defer p.closeConn(from)
+	c := &conn{Conn: from}
+	p.addClient(c)
+	defer p.removeClient(c)
 	first := make([]byte, 4<<10)
 	n, err := from.Read(first)
 	if err != nil {
 		return
 	}
-	c := &conn{Conn: from}
 	if match := advertised.FindSubmatch(first[:n]); match != nil {
 		c.client = string(match[1])
 	}
 	p.wait(c, towardsServer)
+	if c.silent.Load() {
+		_, _ = io.Copy(io.Discard, from) // Until the client closes it.
+		return
+	}
 	to, err := net.Dial("tcp", p.target)
 	if err != nil {
 		return // The client sees its connection close, as it would without a server.
@@ -275,7 +348,7 @@
 		p.wait(c, way)
 		if n > 0 {
 			m := p.currentMode()
-			if m.discards(way) {
+			if c.silent.Load() || m.discards(way) {
 				continue
 			}
 			if m == modeDelay {
@@ -289,7 +362,7 @@
 			}
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) {
+			if errors.Is(err, io.EOF) && (way == towardsServer || !c.silent.Load()) {
 				_ = to.Close()
 			}
 			return
--- a/stand/soaker/proxy_test.go
+++ b/stand/soaker/proxy_test.go
@@ -101,6 +101,26 @@
 	})
 }
 
+// TestSilence guards against connections to an incarnation that has ended which close, or
+// reach the next one.
+func TestSilence(t *testing.T) {
+	const long, short = time.Minute, 50 * time.Millisecond
+	p, c := startProxy(t, echo(t))
+	assert.Assert(t, roundTrip(t, c, long))
+	p.silence()
+	during := dialProxy(t, p)
+	assert.Assert(t, !roundTrip(t, during, short))
+	p.endSilence()
+	for _, silent := range []net.Conn{c, during} {
+		_, err := silent.Write([]byte("word"))
+		assert.NilError(t, err)
+		assert.NilError(t, silent.SetReadDeadline(time.Now().Add(short)))
+		_, err = silent.Read(make([]byte, 1))
+		assert.ErrorContains(t, err, "timeout")
+	}
+	assert.Assert(t, roundTrip(t, dialProxy(t, p), long))
+}
+
 // TestHold guards against held data that is lost, is delivered too early, or goes to a
 // process that has ended since, although another one listens by then.
 func TestHold(t *testing.T) {
--- a/stand/soaker/soaker.go
+++ b/stand/soaker/soaker.go
@@ -31,7 +31,10 @@
 	// Partitions has partitions of agents as the only faults, beside entries and agents
 	// that are killed or paused meanwhile.
 	Partitions bool
-	Seed       int
+	// Restarts has runners that start again under their ids as the only faults, with calls
+	// that are carried out late, and agents that are cut off soon after.
+	Restarts bool
+	Seed     int
 	// BasePort is the lowest port that the run uses.
 	BasePort int
 	Log      hclog.Logger
@@ -159,9 +162,12 @@
 	end := startedAt.Add(f.opts.InjectionTime.Duration())
 	var operator errgroup.Group
 	changes := 0
-	if f.opts.Partitions {
+	switch {
+	case f.opts.Partitions:
 		r.Injected = f.playPartitions(ctx, rnd, end)
-	} else {
+	case f.opts.Restarts:
+		r.Injected = f.playRestarts(ctx, rnd, end)
+	default:
 		operator.Go(func() error { return f.cycleDomains(ctx, end) })
 	}
 	for time.Now().Before(end) && ctx.Err() == nil {
