planner, supervisor: the lease of a restarted runner is taken for the longest that it accepts

Callers saw two runs of a task at once (TWICE, the users' record). A call that was meant for the earlier incarnation may reach the next one of the same id before the agent has found it. Its deadline is a time on the earlier clock, which lies far ahead on the one that has begun again, and applies to all that runs there: the runner then holds a lease of hold_max_ms, 10 s, while agent and owner know of 6 s. Stopping the run of that call doesn't take the lease back. When the host is cut off soon after, the owner gives it up at the end of the lease that it granted, and starts its tasks elsewhere while they go on.

Once the incarnation refuses earlier calls its lease cannot grow that way any more. So the owner takes an incarnation that it hears of for the first time to hold the longest lease from then on, a successor does so for all hosts, and the agent doesn't report it as lost any sooner. Hosts that are cut off within the first 4 s after they came back are given up later by up to that time; nothing else changes.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -12,6 +12,9 @@
 type Options struct {
 	// MaxLease is the longest lease granted to a host.
 	MaxLease cowslipbend.Span
+	// MaxRunnerLease is the longest lease that a runner accepts. Zero means that it is not
+	// longer than MaxLease.
+	MaxRunnerLease cowslipbend.Span
 	// MaxPriorLease is the longest time for which a lease granted by an earlier
 	// owner can still be valid.
 	MaxPriorLease cowslipbend.Span
--- a/planner/report.go
+++ b/planner/report.go
@@ -153,9 +153,19 @@
 		p.loseHost(old, r, now)
 	}
 	a.runnerLife, a.knowsRuns, p.agentsChanged = life, false, true
-	if p.hosts[life] == nil {
-		p.hosts[life] = newHost(life)
+	h := p.hosts[life]
+	if h == nil {
+		h = newHost(life)
+		p.hosts[life] = h
 	}
+	// Calls that were meant for an earlier incarnation may have reached this one before it was
+	// reported, with deadlines that lie far ahead on its clock.
+	h.leaseEnd = max(h.leaseEnd, now.Add(withDrift(max(p.opts.MaxLease, p.opts.MaxRunnerLease))))
+}
+
+// withDrift returns the longest time that a lease takes on the clock of a runner.
+func withDrift(lease cowslipbend.Span) cowslipbend.Span {
+	return lease + lease/driftDivisor + leaseSlack
 }
 
 // removeHost removes a host and ends all its runs.
@@ -320,7 +330,7 @@
 		reply.LeaseGrant, reply.AckedThrough = p.opts.MaxLease, h.ackedThrough
 		reply.Pairs = p.changedPairs(r, h)
 		reply.PairsVersion = p.estimator.Version()
-		h.leaseEnd = max(h.leaseEnd, now.Add(p.opts.MaxLease+p.opts.MaxLease/driftDivisor+leaseSlack))
+		h.leaseEnd = max(h.leaseEnd, now.Add(withDrift(p.opts.MaxLease)))
 		if a := p.agents[r.URL]; a != nil && a.life == r.Agent && r.Number > h.grant.report {
 			h.grant = grant{report: r.Number, at: now}
 		}
--- a/planner/row.go
+++ b/planner/row.go
@@ -79,12 +79,12 @@
 }
 
 // expectHost returns the host, which it adds with the longest prior lease if it
-// is unknown.
+// is unknown. The runner may have had that only since its last start; see replaceHost.
 func (p *Planner) expectHost(life cowslipbend.Incarnation, now cowslipbend.Time) *host {
 	h := p.hosts[life]
 	if h == nil {
 		h = newHost(life)
-		h.leaseEnd = now.Add(p.opts.MaxPriorLease)
+		h.leaseEnd = now.Add(max(p.opts.MaxPriorLease, withDrift(p.opts.MaxRunnerLease)))
 		p.hosts[life] = h
 	}
 	return h
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -112,7 +112,12 @@
 	s.listedRenewal = renewal
 	s.clockOffset, s.clockSynced = list.Clock.Sub(s.clock.Now()), true
 	s.lastContact, s.unreachableRenewals, s.contactBrokenAt = s.clock.Now(), 0, 0
+	if !s.lifeFenced {
+		// Calls that were meant for an earlier incarnation may have given it any lease.
+		s.runnerLeaseEnd = s.clock.Now().Add(s.settings.MaxLease + s.settings.MaxLease/driftDivisor)
+	}
 	s.fence, s.ackConfirmed = max(s.fence, token), max(s.ackConfirmed, acked)
+	s.lifeFenced = s.lifeFenced || s.isFenced()
 	s.running = s.withStarted(list, renewal)
 	if s.moreEnds != list.MoreEnds {
 		s.log.Info("runner's list of ended runs", "life", life, "complete", !list.MoreEnds, "ends", len(list.Ends))
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/supervisor"
 )
 
 // restarted is an incarnation of the runner with the same id.
@@ -79,3 +80,17 @@
 		})
 	}
 }
+
+// TestLeaseOfRestartedRunner guards against a runner that is reported as lost while it still
+// works, as a call that was meant for its earlier incarnation gave it a longer lease.
+func TestLeaseOfRestartedRunner(t *testing.T) {
+	const maxLease = 12 * cowslipbend.Second
+	f := newFixtureWith(t, func(s *supervisor.Settings) { s.MaxLease = maxLease })
+	f.connectRunner()
+	startedAgainAt := f.clock.Now()
+	f.runner.withLock(func(r *runner) { r.restart(restarted) })
+	f.waitForRestarted()
+	f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "") })
+	f.waitFor(func() bool { return f.owner.lastReport().LostLife == restarted })
+	assert.Assert(t, f.clock.Now() > startedAgainAt.Add(maxLease), "%s after its start", f.clock.Now().Sub(startedAgainAt))
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -147,8 +147,9 @@
 	processEpoch cowslipbend.Epoch
 	lifeNumber   int64
 	// fence is the highest one with which the current incarnation has returned a list, so
-	// that it refuses calls with a lower one.
+	// that it refuses calls with a lower one. lifeFenced is set once isFenced has held for it.
 	fence        cowslipbend.Fence
+	lifeFenced   bool
 	ownerURL     string
 	entryURLs    []string
 	reportNumber int64
@@ -271,7 +272,7 @@
 	s.heartbeatAt = s.clock.Now()
 	s.lastContact, s.unreachableRenewals, s.contactBrokenAt = s.clock.Now(), 0, 0
 	s.clockSynced, s.ackedThrough, s.ackConfirmed = false, 0, 0
-	s.lifeNumber, s.fence = s.lifeNumber+1, 0
+	s.lifeNumber, s.fence, s.lifeFenced = s.lifeNumber+1, 0, false
 	s.running, s.unackedEnds, s.moreEnds, s.unreportedResults = nil, nil, false, nil
 	s.listedRenewal = s.renewals
 	s.runs = map[cowslipbend.RunRef]*run{}
