--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -1,7 +1,7 @@
 // Package dialer makes the HTTP clients for calls between processes. Pooled and
 // Transports keep unencrypted HTTP/2 connections and ping them, so that a dead
 // one is detected and closed; Unpooled opens a connection for each call; PooledHTTP1
-// keeps HTTP/1.1 connections.
+// and VerifiedHTTP1 keep HTTP/1.1 connections.
 package dialer
 
 import (
@@ -108,13 +108,38 @@
 // each peer. It neither pings them nor sends HeaderSecret. It is meant for peers on
 // the same host and inside the users' platform.
 func PooledHTTP1(conns int) *http.Client {
-	tr := &http.Transport{
+	return &http.Client{Transport: newHTTP1Transport(conns, dial), CheckRedirect: noRedirect}
+}
+
+// VerifiedHTTP1 is like PooledHTTP1, and has the function verify each new connection before a
+// request is sent on it. If the function says that the connection cannot be used after that,
+// the request is sent on another one. Its error is that of a connection that could not be made.
+func VerifiedHTTP1(conns int, verify func(net.Conn) (usable bool, err error)) *http.Client {
+	dialVerified := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		usable, err := verify(conn)
+		if err == nil && usable {
+			return conn, nil
+		}
+		_ = conn.Close()
+		if err != nil {
+			return nil, &DialError{Cause: err}
+		}
+		return dial(ctx, network, addr)
+	}
+	return &http.Client{Transport: newHTTP1Transport(conns, dialVerified), CheckRedirect: noRedirect}
+}
+
+func newHTTP1Transport(conns int, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
 		DialContext:         dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     idleTimeout,
 	}
-	return &http.Client{Transport: tr, CheckRedirect: noRedirect}
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/stand/field/restart_test.go
+++ b/stand/field/restart_test.go
@@ -6,10 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
@@ -19,7 +21,6 @@
 	"cowslipbend.dev"
 	agent "cowslipbend.dev/agent/joiner"
 	entry "cowslipbend.dev/entry/joiner"
-	"cowslipbend.dev/internal/server"
 	"cowslipbend.dev/platform"
 	"cowslipbend.dev/stand/hostrunner"
 	"cowslipbend.dev/stand/metastore"
@@ -44,60 +45,89 @@
 	t       *testing.T
 	pool    *hostrunner.Pool
 	address string
-	// taskDuration is that of the next incarnation.
-	taskDuration cowslipbend.Span
 
-	mu     sync.Mutex
-	runner *hostrunner.Runner
-	server *server.Server
-	group  errgroup.Group
+	mu          sync.Mutex
+	incarnation *incarnation
 	// leave tells which calls are left unanswered; left holds the last one by its name.
 	leave map[string]func(*runnerCall) bool
 	left  map[string]*runnerCall
-	// leased is set once the incarnation has been given a lease.
+	// silenced is set while the runner sends no heartbeats.
+	silenced bool
+}
+
+// incarnation is one incarnation of a runner, with the connections to it.
+type incarnation struct {
+	runner *hostrunner.Runner
+	server *httptest.Server
+	// ended is closed once it has ended. Its connections stay open without an answer.
+	ended chan struct{}
+	// starts counts the starts that have reached it. leased is set once it has a lease.
+	starts int
 	leased bool
 }
 
 // boot starts an incarnation.
 func (m *machine) boot() {
 	m.t.Helper()
-	s, err := server.Listen(m.address, m)
+	ln, err := net.Listen("tcp", m.address)
 	assert.NilError(m.t, err)
+	n := &incarnation{runner: hostrunner.New(m.pool, runnerName, taskDuration), ended: make(chan struct{})}
+	n.runner.StartClock()
+	n.runner.SetMaxLease(maxLease)
+	n.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serve(n, w, r) }))
+	n.server.Listener = ln
+	n.server.Start()
+	m.t.Cleanup(func() {
+		n.server.CloseClientConnections()
+		n.server.Close()
+	})
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.runner, m.server, m.leased = hostrunner.New(m.pool, runnerName, m.taskDuration), s, false
-	m.runner.StartClock()
-	m.runner.SetMaxLease(maxLease)
-	m.group.Go(s.Run)
+	m.incarnation = n
+}
+
+// endSilently ends the incarnation. Connections to it stay open without an answer.
+func (m *machine) endSilently() {
+	n := m.current()
+	close(n.ended)
+	_ = n.server.Listener.Close()
+	n.runner.Crash()
 }
 
 // crash ends the incarnation and its connections.
 func (m *machine) crash() {
+	m.endSilently()
+	m.current().server.CloseClientConnections()
+}
+
+func (m *machine) setSilenced(silenced bool) {
 	m.mu.Lock()
-	s := m.server
-	m.runner.Crash()
-	m.mu.Unlock()
-	s.Close()
-	assert.NilError(m.t, m.group.Wait())
+	defer m.mu.Unlock()
+	m.silenced = silenced
 }
 
-func (m *machine) current() *hostrunner.Runner {
+func (m *machine) current() *incarnation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.runner
+	return m.incarnation
 }
 
 // beat sends heartbeats of the current incarnation and ends its runs until the context ends.
 func (m *machine) beat(ctx context.Context, control string) error {
 	return timer.Every(ctx, timer.Host{}, 50, func(context.Context) error {
-		m.current().EndDueRuns()
-		_ = m.current().SendHeartbeat(control, "ledger", false) // The agent may have stopped.
+		m.mu.Lock()
+		silenced := m.silenced
+		m.mu.Unlock()
+		m.current().runner.EndDueRuns()
+		if !silenced {
+			_ = m.current().runner.SendHeartbeat(control, "ledger", false) // The agent may have stopped.
+		}
 		return nil
 	})
 }
 
-// ServeHTTP has the current incarnation carry out a call, or leaves it unanswered.
-func (m *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// serve has an incarnation carry out a call, or leaves it unanswered.
+func (m *machine) serve(n *incarnation, w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -107,15 +137,27 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if m.isLeft(c) {
+	if n != m.current() || m.isLeft(c) || n.hasEnded() {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
-	m.current().Handler().ServeHTTP(w, r)
+	n.runner.Handler().ServeHTTP(w, r)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.leased = m.leased || c.Deadline > 0
+	n.leased = n.leased || c.Deadline > 0
+	if c.path == "/-/run-start" {
+		n.starts++
+	}
+}
+
+func (n *incarnation) hasEnded() bool {
+	select {
+	case <-n.ended:
+		return true
+	default:
+		return false
+	}
 }
 
 // isLeft reports whether a call is to be left unanswered.
@@ -145,10 +187,18 @@
 	return m.left[name] != nil
 }
 
+// hasLease reports whether the current incarnation has a lease.
 func (m *machine) hasLease() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.leased
+	return m.incarnation.leased
+}
+
+// starts counts the starts that have reached the current incarnation.
+func (m *machine) starts() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.incarnation.starts
 }
 
 // carryOut has the current incarnation carry out a call that was left unanswered. It returns
@@ -160,7 +210,7 @@
 	req := httptest.NewRequestWithContext(m.t.Context(), http.MethodPost, c.path, bytes.NewReader(c.body))
 	req.Header = c.header
 	w := httptest.NewRecorder()
-	m.current().Handler().ServeHTTP(w, req)
+	m.current().runner.Handler().ServeHTTP(w, req)
 	var reply struct{ Reason string }
 	assert.NilError(m.t, json.Unmarshal(w.Body.Bytes(), &reply))
 	return reply.Reason
@@ -185,7 +235,7 @@
 	}, timer.Host{}, hclog.NewNullLogger())
 	assert.NilError(t, err)
 	control := fmt.Sprintf("127.0.2.1:%d", f.port+4)
-	m = &machine{t: t, pool: f.pool, address: fmt.Sprintf("127.0.2.1:%d", f.port+3), taskDuration: taskDuration, leave: map[string]func(*runnerCall) bool{}, left: map[string]*runnerCall{}}
+	m = &machine{t: t, pool: f.pool, address: fmt.Sprintf("127.0.2.1:%d", f.port+3), leave: map[string]func(*runnerCall) bool{}, left: map[string]*runnerCall{}}
 	m.boot()
 	ctx, cancel := context.WithCancel(context.Background())
 	var all, agents errgroup.Group
@@ -206,7 +256,7 @@
 		cancel()
 		assert.NilError(t, agents.Wait())
 		assert.NilError(t, all.Wait())
-		m.crash()
+		assert.DeepEqual(t, f.pool.Faults(), []string(nil))
 	})
 	return f, m, func() {
 		stopAgent()
@@ -259,3 +309,30 @@
 		})
 	}
 }
+
+// TestCallsToRestartedRunner guards against calls that reach an incarnation before its first
+// heartbeat, while the agent means the one before: work that the owner does not expect there,
+// under a deadline of the earlier clock.
+func TestCallsToRestartedRunner(t *testing.T) {
+	for name, end := range map[string]func(*machine){"that ended silently": (*machine).endSilently, "that broke its connections": (*machine).crash} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, m, _ := newMachine(t)
+			f.submit(0, 1, dependentSteps)
+			f.waitForState(0, 1, "done")
+			m.setSilenced(true)
+			end(m)
+			m.boot()
+			for n := range 20 {
+				f.submit(0, 2+n, dependentSteps)
+				time.Sleep(100 * time.Millisecond)
+			}
+			assert.Equal(t, m.starts(), 0)
+			assert.Assert(t, !m.hasLease())
+			m.setSilenced(false)
+			for n := range 20 {
+				f.waitForState(0, 2+n, "done")
+			}
+		})
+	}
+}
