supervisor: an incarnation that was found is asked and reported at once

Callers waited for tasks that a restarted host could have run, and an incarnation carried out earlier calls for longer than it had to. The agent found it by its heartbeat, but its renewals went on waiting for the answer of the incarnation before: up to 1.7 s, and the report of the first list came up to 0.5 s after that. A start that came meanwhile lapsed with its own deadline of 1.5 s, as no renewal followed.

The renewal that waits is cancelled as the next incarnation is tracked, and a report is due once that has answered.

supervisor TestRestartedRunnerIsFencedAtOnce failed before: the fake leaves calls to an incarnation that has ended unanswered until they are cancelled.

--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -23,36 +23,48 @@
 		if hasUnacked {
 			s.sleep(ctx, trigger, renewalBackoff)
 		}
-		if err := s.renewLease(ctx, true); err != nil {
-			s.log.Warn("runner did not confirm the lease", "life", host.Life, "error", err)
-			s.renewalFailed(host.Life, cowslipbend.KindOf(err))
+		err := s.pollRunner(ctx)
+		switch {
+		case err == nil:
+			s.adjustPaces(ctx)
+		case s.renewalFailed(host.Life, err):
 			s.sleep(ctx, nil, renewalBackoff)
-			continue
 		}
-		s.adjustPaces(ctx)
 	}
 	return nil
 }
 
-// renewalFailed handles a failed renewal. The runner is lost, with all its
-// runs, after maxUnreachableRenewals without a listener at its address, or once
-// its lease has lapsed without an answer. Its next heartbeat makes it known
-// again.
-func (s *Supervisor) renewalFailed(life cowslipbend.Incarnation, kind cowslipbend.Kind) {
+// pollRunner renews the lease, and returns early if another incarnation is tracked meanwhile:
+// the runner would not answer until that call has timed out.
+func (s *Supervisor) pollRunner(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.mu.Lock()
+	s.cancelPoll = cancel
+	s.mu.Unlock()
+	return s.renewLease(ctx, true)
+}
+
+// renewalFailed handles a failed renewal, and reports whether the incarnation is still the
+// current one. The runner is lost, with all its runs, after maxUnreachableRenewals without
+// a listener at its address, or once its lease has lapsed without an answer. Its next
+// heartbeat makes it known again.
+func (s *Supervisor) renewalFailed(life cowslipbend.Incarnation, err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.host == nil || s.host.Life != life {
-		return
+		return false
 	}
+	s.log.Warn("runner did not confirm the lease", "life", life, "error", err)
 	if s.contactBrokenAt == 0 {
 		s.contactBrokenAt = s.clock.Now()
 	}
-	if s.unreachableRenewals++; kind != cowslipbend.KindMissing {
+	if s.unreachableRenewals++; cowslipbend.KindOf(err) != cowslipbend.KindMissing {
 		s.unreachableRenewals = 0
 	}
 	leaseLapsed := s.runnerLeaseEnd > 0 && s.clock.Now() > s.runnerLeaseEnd
 	if s.unreachableRenewals < maxUnreachableRenewals && !leaseLapsed {
-		return
+		return true
 	}
 	cause := cowslipbend.LossCrashed
 	if leaseLapsed {
@@ -61,6 +73,7 @@
 	s.recordLoss(cause)
 	s.host, s.lostLife = nil, life
 	s.triggerReport()
+	return true
 }
 
 // sleep waits until the trigger is closed or has a value, or the time has
@@ -117,7 +130,10 @@
 		s.runnerLeaseEnd = s.clock.Now().Add(s.settings.MaxLease + s.settings.MaxLease/driftDivisor)
 	}
 	s.fence, s.ackConfirmed = max(s.fence, token), max(s.ackConfirmed, acked)
-	s.lifeFenced = s.lifeFenced || s.isFenced()
+	if !s.lifeFenced && s.isFenced() {
+		s.lifeFenced = true
+		s.triggerReport()
+	}
 	s.running = s.withStarted(list, renewal)
 	if s.moreEnds != list.MoreEnds {
 		s.log.Info("runner's list of ended runs", "life", life, "complete", !list.MoreEnds, "ends", len(list.Ends))
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -94,3 +94,21 @@
 	f.waitFor(func() bool { return f.owner.lastReport().LostLife == restarted })
 	assert.Assert(t, f.clock.Now() > startedAgainAt.Add(maxLease), "%s after its start", f.clock.Now().Sub(startedAgainAt))
 }
+
+// TestRestartedRunnerIsFencedAtOnce guards against an incarnation that carries out earlier calls
+// for longer than it has to, as the agent waits for the answer of the one before.
+func TestRestartedRunnerIsFencedAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.connectRunner()
+	f.runner.withLock(func(r *runner) { r.silentLife = life })
+	f.waitFor(func() (waiting bool) {
+		f.runner.withLock(func(r *runner) { waiting = r.waiting > 0 })
+		return waiting
+	})
+	f.runner.withLock(func(r *runner) { r.restart(restarted) })
+	f.beat(restarted, 1)
+	f.waitFor(func() bool {
+		last := f.owner.lastReport()
+		return last.Host != nil && last.Host.Life == restarted
+	})
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -179,6 +179,8 @@
 	pairsEpoch   cowslipbend.Epoch
 	// domains holds the failure domains out of service.
 	domains domains
+	// cancelPoll cancels the renewal that waits at the runner; nil before the first one.
+	cancelPoll context.CancelFunc
 	// renewalTrigger is closed and replaced when the next renewal need not
 	// wait: ends were acknowledged, there is a new owner, or the runner has
 	// changed.
@@ -277,6 +279,9 @@
 	s.listedRenewal = s.renewals
 	s.runs = map[cowslipbend.RunRef]*run{}
 	s.pacer = pacer.New(s.model)
+	if s.cancelPoll != nil {
+		s.cancelPoll()
+	}
 	s.triggerRenewal()
 	s.triggerReport()
 }
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -43,6 +43,10 @@
 	stopErr  error
 	// life is the incarnation that answers, if it is not the constant.
 	life cowslipbend.Incarnation
+	// silentLife is an incarnation at which renewals wait until they are cancelled, and
+	// waiting counts them.
+	silentLife cowslipbend.Incarnation
+	waiting    int
 	// panicNext makes the next renewal panic.
 	panicNext bool
 	// leaseEnd is the latest lease end that was set, stopOrders the runs of all
@@ -91,9 +95,16 @@
 	return r.stopErr
 }
 
-func (r *runner) RenewLeases(_ context.Context, asked cowslipbend.Incarnation, until cowslipbend.Time, acked int64, _ cowslipbend.Span, fence cowslipbend.Fence) (cowslipbend.RunList, error) {
+func (r *runner) RenewLeases(ctx context.Context, asked cowslipbend.Incarnation, until cowslipbend.Time, acked int64, _ cowslipbend.Span, fence cowslipbend.Fence) (cowslipbend.RunList, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if asked == r.silentLife {
+		r.waiting++
+		r.mu.Unlock()
+		<-ctx.Done()
+		r.mu.Lock()
+		return cowslipbend.RunList{}, cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "")
+	}
 	if r.panicNext {
 		r.panicNext = false
 		panic("index out of range")
