supervisor: a run that the next incarnation lists is not reported as absent

Callers saw two runs of a task at once (TWICE). An agent answers orders for an earlier incarnation of its runner that their runs are absent, as the runner has started again. But a start that reached the next incarnation before its first heartbeat is at work there. The owner carries the run over by the lists in the same answer, takes it for absent by the result, and starts the task elsewhere.

At 36.56 s the owner orders it stopped at the earlier incarnation, and at 36.58 s run 2 starts elsewhere; run 1 is stopped at 36.70 s.

The agent answers for runs that the current incarnation doesn't list only, from complete lists of one that refuses earlier calls, and otherwise leaves it to its next report.

supervisor TestOrdersForEarlierRunner failed before: a running and an ended run were absent.

--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -53,8 +53,8 @@
 	switch {
 	case o.Life == "" || o.Life == life:
 		return s.execute(o, life, draining)
-	case life != "" && startedBefore(o.Life, life) && s.refusesEarlier(life):
-		return rejectAll(o, cowslipbend.Absent, "runner has started again")
+	case life != "" && startedBefore(o.Life, life):
+		return s.resolveEarlier(o, life)
 	}
 	// An agent that does not know this incarnation yet cannot tell what became of
 	// runs that an earlier process of it began, nor can one whose runner may still be told
@@ -63,12 +63,15 @@
 	return nil
 }
 
-// refusesEarlier reports whether the incarnation is current and refuses calls that were meant
-// for earlier ones.
-func (s *Supervisor) refusesEarlier(life cowslipbend.Incarnation) bool {
+// resolveEarlier returns the results of orders for an earlier incarnation than the current one.
+// A run of the earlier one may be on the current one, which its lists show once it refuses earlier calls.
+func (s *Supervisor) resolveEarlier(o *cowslipbend.HostOrders, life cowslipbend.Incarnation) []cowslipbend.RunResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.isFenced() && s.host.Life == life
+	if !s.isFenced() || s.host.Life != life || s.moreEnds {
+		return nil
+	}
+	return slices.DeleteFunc(rejectAll(o, cowslipbend.Absent, "runner has started again"), func(r cowslipbend.RunResult) bool { return s.isListed(r.RunRef) })
 }
 
 func (s *Supervisor) addRun(order *cowslipbend.RunStart) {
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -112,3 +112,23 @@
 		return last.Host != nil && last.Host.Life == restarted
 	})
 }
+
+// TestOrdersForEarlierRunner guards against a run that is reported as absent, and started
+// elsewhere, while it is on the next incarnation of its runner.
+func TestOrdersForEarlierRunner(t *testing.T) {
+	f := newFixture(t)
+	f.connectRunner()
+	running, ended, absent := newStart(0).RunRef, newStart(1).RunRef, newStart(2).RunRef
+	f.runner.withLock(func(r *runner) {
+		r.restart(restarted)
+		r.running = []cowslipbend.RunState{{RunRef: running}}
+		r.ends = []cowslipbend.RunEnd{{RunRef: ended, Number: 1, Kind: cowslipbend.EndDone}}
+	})
+	f.waitForRestarted()
+	o := &cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{{RunRef: running}}, Stops: []cowslipbend.RunRef{running, ended, absent}}
+	want := []cowslipbend.RunResult{{RunRef: absent, Kind: cowslipbend.Absent, Reason: "runner has started again"}}
+	assert.DeepEqual(t, f.sendOrders(o).Results, want)
+	f.runner.withLock(func(r *runner) { r.moreEnds = true })
+	f.waitFor(func() bool { return f.owner.lastReport().MoreEnds })
+	assert.Equal(t, len(f.sendOrders(o).Results), 0, "an incomplete list shows nothing about a run that it lacks")
+}
