supervisor: the next incarnation of a runner refuses late starts before its first heartbeat

Callers saw work that was done run again (TWICE). A start that a runner left unanswered may be carried out by its next incarnation as soon as that is up. It refuses the start once it has answered the agent, but the agent learned of it by its first heartbeat, up to an interval after its start.

While a start without an answer may still be carried out, 13 s from its sending, the agent asks the runner for its lists every 100 ms, and every 30 ms once it doesn't answer. The first answer of another incarnation tells which one it is; the next call has it refuse all earlier ones. So does an agent for 13 s after its own start, as it doesn't know what the process before it sent. At other times no start is on its way, and nothing is asked.

It can't be none: a runner that has just started knows of no fence, and a call can't name an incarnation.

--- a/stand/field/restart_test.go
+++ b/stand/field/restart_test.go
@@ -38,6 +38,7 @@
 	// Fields of the body.
 	Acked    int64 `json:"ack_seq"`
 	Deadline int64 `json:"deadline_ms"`
+	Fence    int64 `json:"fencing_token"`
 }
 
 // machine runs one incarnation of a runner after another, with the same id and address.
@@ -61,8 +62,10 @@
 	server *httptest.Server
 	// ended is closed once it has ended. Its connections stay open without an answer.
 	ended chan struct{}
-	// starts counts the starts that have reached it. leased is set once it has a lease.
+	// starts counts the starts that it has answered, and fence is the highest one of all calls.
+	// leased is set once it has a lease.
 	starts int
+	fence  int64
 	leased bool
 }
 
@@ -146,6 +149,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n.leased = n.leased || c.Deadline > 0
+	n.fence = max(n.fence, c.Fence)
 	if c.path == "/-/run-start" {
 		n.starts++
 	}
@@ -194,13 +198,21 @@
 	return m.incarnation.leased
 }
 
-// starts counts the starts that have reached the current incarnation.
+// starts counts the starts that the current incarnation has answered.
 func (m *machine) starts() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.incarnation.starts
 }
 
+// hasHigherFence reports whether the current incarnation has answered a call with a higher
+// fence than one that was left unanswered.
+func (m *machine) hasHigherFence(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.incarnation.fence > m.left[name].Fence
+}
+
 // carryOut has the current incarnation carry out a call that was left unanswered. It returns
 // why the runner refuses it, or an empty string if it doesn't.
 func (m *machine) carryOut(name string) string {
@@ -336,3 +348,27 @@
 		})
 	}
 }
+
+// TestLateStartBeforeFirstHeartbeat guards against a start that an incarnation left unanswered,
+// and that the next one carries out before its first heartbeat, after the task was done elsewhere.
+func TestLateStartBeforeFirstHeartbeat(t *testing.T) {
+	for name, end := range map[string]func(*machine){"on a runner that ended silently": (*machine).endSilently, "on a runner that broke its connections": (*machine).crash} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, m, _ := newMachine(t)
+			f.submit(0, 1, dependentSteps)
+			f.waitForState(0, 1, "done")
+			m.leaveUnanswered("start", func(c *runnerCall) bool { return c.path == "/-/run-start" })
+			f.submit(0, 2, dependentSteps)
+			f.waitForState(0, 2, "done")
+			m.setSilenced(true)
+			end(m)
+			m.boot()
+			f.waitFor("the incarnation refuses it", func() bool { return m.hasHigherFence("start") })
+			assert.Equal(t, m.carryOut("start"), "fence")
+			m.setSilenced(false)
+			f.submit(0, 3, dependentSteps)
+			f.waitForState(0, 3, "done")
+		})
+	}
+}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -194,6 +194,9 @@
 			s.spawn(func(ctx context.Context) { s.paceNewRun(ctx, order.RunRef) })
 		}
 	case cowslipbend.KindUnknown:
+		s.mu.Lock()
+		s.expectLateCalls()
+		s.mu.Unlock()
 		s.log.Warn("runner did not answer a start; stopping the run", "flow", order.Task.Job, "task", order.Task.String(), "run", order.Run, "error", err)
 		s.spawn(func(ctx context.Context) { s.stop(ctx, order.RunRef, o.Epoch, life) })
 		return nil
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -118,6 +118,12 @@
 	// candidateTrigger holds a value when it has changed.
 	candidate        *candidate
 	candidateTrigger chan struct{}
+	// lateCallsUntil is until when starts without an answer may be carried out. probeTrigger
+	// holds a value when it has changed. fencedOff is the last incarnation that was made to
+	// refuse them before its first heartbeat.
+	lateCallsUntil cowslipbend.Time
+	probeTrigger   chan struct{}
+	fencedOff      fencedLife
 	// clockOffset is the least time by which the runner's clock is ahead of
 	// this host's clock. clockSynced is set once it is known.
 	clockOffset cowslipbend.Span
@@ -205,7 +211,7 @@
 	model := estimator.New()
 	w := &Supervisor{
 		settings: s, runner: r, caller: c, findOwner: findOwner, clock: clock, log: log, entryURLs: s.Entries,
-		reportedAt: map[int64]cowslipbend.Time{}, runs: map[cowslipbend.RunRef]*run{}, model: model, pacer: pacer.New(model), renewalTrigger: make(chan struct{}), reportTrigger: make(chan struct{}, 1), candidateTrigger: make(chan struct{}, 1),
+		reportedAt: map[int64]cowslipbend.Time{}, runs: map[cowslipbend.RunRef]*run{}, model: model, pacer: pacer.New(model), renewalTrigger: make(chan struct{}), reportTrigger: make(chan struct{}, 1), candidateTrigger: make(chan struct{}, 1), probeTrigger: make(chan struct{}, 1),
 		ready: make(chan struct{}), done: make(chan struct{}),
 	}
 	w.goroutines.Guard = recoverer.Guard("orders", log, s.Metrics)
@@ -222,7 +228,11 @@
 	s.spawn = func(f func(context.Context)) bool { return s.goroutines.Go(func() { f(ctx) }) }
 	defer s.goroutines.End()
 	close(s.ready)
+	s.mu.Lock()
+	s.expectLateCalls() // Those of an earlier process.
+	s.mu.Unlock()
 	g.Go(func() error { return s.repeat(ctx, "identity", s.identifyRunner) })
+	g.Go(func() error { return s.repeat(ctx, "probe", s.probeRunner) })
 	g.Go(func() error { return s.repeat(ctx, "renewal", s.renewLeases) })
 	g.Go(func() error { return s.repeat(ctx, "report", s.sendReports) })
 	return g.Wait()
