planner: a run that was given up and is at work takes its task back

A start that a runner left unanswered may be carried out by its next incarnation before that refuses it. If the owner had given the run up with the earlier one, it ordered the run stopped, and started the task again at once, beside the run that was not yet stopped.

The next incarnation is up at 24.48 s and carries it out. Its first report lists the run; at 24.757 s the owner orders run 2 on the same host, and 38 ms later the stop of run 1.

A waiting task of which a host lists a run is placed there again: that run is the only one. A run that is older than the last one takes the place of the earlier one of two. Members of gangs only work together, so they are stopped as before, as are runs of tasks that are placed elsewhere or done.

--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -65,6 +66,36 @@
 		p.advance(2 * cowslipbend.Second)
 		assertStarts(t, p.decide(), 1)
 	})
+	for _, losses := range []int{1, 2} {
+		t.Run(fmt.Sprintf("a run that was given up is taken back, after %d losses", losses), func(t *testing.T) {
+			p, name, ref := setUp(t)
+			next := p.reports[name].Host
+			lose := func(name string, life cowslipbend.Incarnation) {
+				p.reports[name].Host, p.reports[name].LostLife = nil, life
+				p.report(name)
+			}
+			if losses == 1 {
+				p.plan.Submit(flow("g", step(2, 4)))
+				p.startRuns(p.decide())
+			}
+			lose(name, cowslipbend.Incarnation(name+"@1"))
+			if losses == 2 {
+				other, _ := onlyStart(t, p.decide())
+				lose(other, cowslipbend.Incarnation(other+"@1"))
+			}
+			assertStarts(t, p.decide(), 0)
+			p.reports[name].Host, p.reports[name].LostLife = next, ""
+			p.reports[name].Running = []cowslipbend.RunState{{RunRef: ref, Percent: 10}}
+			p.report(name)
+			orders := p.decide()
+			assert.Equal(t, len(orders[name].Stops), 0)
+			for _, s := range starts(orders) {
+				assert.Assert(t, s.Task != ref.Task, "%v", s)
+			}
+			p.endRun(name, ref, cowslipbend.EndDone)
+			assertState(t, p, "f", cowslipbend.FlowDone)
+		})
+	}
 	t.Run("the next owner finds the run on that incarnation", func(t *testing.T) {
 		p, name, ref := setUp(t)
 		p.reports[name].Running = []cowslipbend.RunState{{RunRef: ref, Percent: 10}}
--- a/planner/report.go
+++ b/planner/report.go
@@ -248,6 +248,9 @@
 	if t == nil {
 		return
 	}
+	if t.phase == phaseWaiting && s.Run <= t.run && pl.def != nil && !pl.def.Gang {
+		p.takeBack(f, t, h, s.RunRef, pl, now)
+	}
 	if pl.hasWorked(now) {
 		t.failedOn = ""
 	}
@@ -264,6 +267,22 @@
 	}
 }
 
+// takeBack places a waiting task on a host that lists a run of it: the run was given up, and its
+// start was carried out later.
+func (p *Planner) takeBack(f *flow, t *task, h *host, ref cowslipbend.RunRef, pl *placement, now cowslipbend.Time) {
+	t.phase = phasePlaced
+	if ref.Run == t.run {
+		t.host, t.placedAt = h.life, now
+	} else {
+		t.other = otherRun{run: ref.Run, host: h.life, placedAt: now}
+	}
+	if t.crashes.Suspect {
+		h.beginTrial(f.def.ID, pl)
+	}
+	f.updateCounts()
+	p.markDirty(f)
+}
+
 // confirmStart records that a run has started.
 func (p *Planner) confirmStart(ref cowslipbend.RunRef, pl *placement, now cowslipbend.Time) {
 	if pl.confirmed = true; pl.confirmedAt == 0 {
