planner, supervisor: a start without an answer keeps its place while its runner may come back

Callers could see two runs of a task at once (TWICE). When a runner has crashed its owner starts all its tasks elsewhere at once. But the runner may be back within a second under its id, and carry out a start that it left unanswered before it refuses it.

The agent names such starts with the loss: those that it sent within 13 s and that no answer or list has settled. They keep their place until the next incarnation is reported, whose lists then show what became of them, or one with another id, or until they can't be carried out any more. All other runs of the host have ended with it and start elsewhere at once, as before. As a call that meets a silent or absent runner on a new connection was not sent, there are few such starts.

planner TestUnansweredStartKeepsItsPlace failed before in all four cases: the task started at once.

--- a/loss.go
+++ b/loss.go
@@ -4,6 +4,10 @@
 // its runner. A task that crashes a runner does so as it starts.
 const YoungRunAge = 2 * Second
 
+// LateCallTimeout is how long after it was sent a call that a runner left unanswered may still be
+// carried out: 12 s, and a margin.
+const LateCallTimeout = 13 * Second
+
 // LossCause is why an incarnation of a runner runs nothing any more.
 type LossCause string
 
@@ -28,6 +32,9 @@
 	// Young holds the runs whose start was sent at most YoungRunAge before the
 	// runner was last known to be up, the youngest first.
 	Young []LostRun `json:"young,omitempty"`
+	// Unanswered holds the runs whose start was sent within LateCallTimeout and not answered.
+	// The next incarnation with the same id may still carry it out.
+	Unanswered []RunRef `json:"unanswered,omitempty"`
 }
 
 // LostRun is a run that was lost with its runner.
@@ -44,9 +51,14 @@
 		return Invalid("loss", "names no incarnation or cause", "check the agent's version")
 	}
 	for i := range l.Young {
-		if r := &l.Young[i]; r.Task.Job == "" || r.Run < 1 || r.Age < 0 {
+		if r := &l.Young[i]; !r.isRun() || r.Age < 0 {
 			return Invalid("loss", "has a run without task or number, or a negative age", "check the agent's version")
 		}
 	}
+	for _, r := range l.Unanswered {
+		if !r.isRun() {
+			return Invalid("loss", "has a run without task or number", "check the agent's version")
+		}
+	}
 	return nil
 }
--- a/planner/host.go
+++ b/planner/host.go
@@ -94,8 +94,11 @@
 	spec cowslipbend.HostSpec
 	// reported is set once its agent has reported it in this epoch, fenced once
 	// the runner refuses calls of earlier epochs.
-	reported     bool
-	fenced       bool
+	reported bool
+	fenced   bool
+	// lost is set while the incarnation has ended, and starts that it did not answer may
+	// still be carried out by the next one.
+	lost         bool
 	lastReportAt cowslipbend.Time
 	// leaseEnd is when its last lease has certainly ended, on the clock of this
 	// process.
--- a/planner/lease_test.go
+++ b/planner/lease_test.go
@@ -56,3 +56,60 @@
 		assertGivenUp(t, p)
 	})
 }
+
+// TestUnansweredStartKeepsItsPlace guards against a task that is started elsewhere after its runner
+// has crashed, while the next incarnation may still carry out the start that this one left unanswered.
+func TestUnansweredStartKeepsItsPlace(t *testing.T) {
+	crash := func(t *testing.T) (*pool, cowslipbend.RunRef, *cowslipbend.HostSpec) {
+		t.Helper()
+		p := newPool(t, 1)
+		p.plan.Submit(flow("answered", step(1, 1)))
+		p.startRuns(p.decide())
+		p.plan.Submit(flow("f", step(1, 1)))
+		name, ref := onlyStart(t, p.decide())
+		p.addHost("h1", "r0")
+		next, r := *p.reports[name].Host, p.reports[name]
+		next.Life = cowslipbend.Incarnation(name + "@2")
+		r.LostLife, r.Host, r.Running = r.Host.Life, nil, nil
+		r.Loss = &cowslipbend.HostLoss{Life: r.LostLife, Cause: cowslipbend.LossCrashed, Unanswered: []cowslipbend.RunRef{ref}}
+		p.report(name)
+		_, other := onlyStart(t, p.decide())
+		assert.Equal(t, other.Task.Job, cowslipbend.JobID("answered"), "a run whose start was answered has ended")
+		return p, ref, &next
+	}
+	restart := func(p *pool, next *cowslipbend.HostSpec, running ...cowslipbend.RunState) {
+		r := p.reports[next.Runner]
+		r.LostLife, r.Host, r.Running = "", next, running
+		p.report(next.Runner)
+	}
+	t.Run("until that refuses it", func(t *testing.T) {
+		p, ref, next := crash(t)
+		p.advance(5 * cowslipbend.Second)
+		assertStarts(t, p.decide(), 0)
+		restart(p, next)
+		_, again := onlyStart(t, p.decide())
+		assert.Equal(t, again.Task, ref.Task)
+	})
+	t.Run("unless that has carried it out", func(t *testing.T) {
+		p, ref, next := crash(t)
+		restart(p, next, cowslipbend.RunState{RunRef: ref, Percent: 10})
+		assertStarts(t, p.decide(), 0)
+		p.endRun(next.Runner, ref, cowslipbend.EndDone)
+		assertState(t, p, "f", cowslipbend.FlowDone)
+	})
+	t.Run("until it can't be carried out any more", func(t *testing.T) {
+		p, ref, _ := crash(t)
+		p.advance(cowslipbend.LateCallTimeout - cowslipbend.Second)
+		assertStarts(t, p.decide(), 0)
+		p.advance(2 * cowslipbend.Second)
+		_, again := onlyStart(t, p.decide())
+		assert.Equal(t, again.Task, ref.Task)
+	})
+	t.Run("until it was refused after all", func(t *testing.T) {
+		p, ref, next := crash(t)
+		r := cowslipbend.HostReport{Agent: "a", URL: next.Runner, BriefFor: "h0@1", Results: []cowslipbend.RunResult{{RunRef: ref, Kind: cowslipbend.Refused}}}
+		p.plan.ApplyReport(&r, p.now)
+		_, again := onlyStart(t, p.decide())
+		assert.Equal(t, again.Task, ref.Task)
+	})
+}
--- a/planner/loss.go
+++ b/planner/loss.go
@@ -36,6 +36,9 @@
 
 // loseHost removes a host of which the report shows that it runs nothing any more.
 func (p *Planner) loseHost(h *host, r *cowslipbend.HostReport, now cowslipbend.Time) {
+	if h.lost && r.Host == nil {
+		return // The agent reports the loss until it finds the next incarnation.
+	}
 	loss := r.Loss
 	if loss == nil || loss.Life != h.life {
 		loss = &cowslipbend.HostLoss{Life: h.life, Cause: cowslipbend.LossReplaced}
@@ -43,15 +46,44 @@
 	if h.spec.Draining {
 		loss = &cowslipbend.HostLoss{Life: h.life, Cause: cowslipbend.LossLeft}
 	}
-	p.addLossEvent(h, loss)
 	var lost []crashedRun
-	if loss.Cause == cowslipbend.LossCrashed {
-		lost = p.recordCrash(h, loss, now)
+	if !h.lost {
+		p.addLossEvent(h, loss)
+		if loss.Cause == cowslipbend.LossCrashed {
+			lost = p.recordCrash(h, loss, now)
+		}
+	}
+	if r.Host == nil {
+		p.keepUnanswered(h, loss, now)
+	} else {
+		p.removeHost(h)
 	}
-	p.removeHost(h)
 	for _, c := range lost {
 		if c.flow.finalState == "" {
 			p.finish(c.flow, cowslipbend.FlowFailed)
 		}
 	}
 }
+
+// keepUnanswered removes a host while no later incarnation of its runner is known, except for the
+// runs whose start that may carry out. They keep their place until it is reported, and refuses
+// them, or until none can any more.
+func (p *Planner) keepUnanswered(h *host, loss *cowslipbend.HostLoss, now cowslipbend.Time) {
+	kept := map[cowslipbend.RunRef]*placement{}
+	for _, ref := range loss.Unanswered {
+		if pl := h.runs[ref]; pl != nil {
+			kept[ref] = pl
+		}
+	}
+	if len(kept) == 0 {
+		p.removeHost(h)
+		return
+	}
+	for ref := range h.runs {
+		if kept[ref] == nil {
+			h.removeRun(ref)
+			p.endRun(ref, cowslipbend.EndLapsed, "")
+		}
+	}
+	h.lost, h.reported, h.grant, h.leaseEnd = true, false, grant{}, now.Add(cowslipbend.LateCallTimeout)
+}
--- a/planner/report.go
+++ b/planner/report.go
@@ -52,7 +52,7 @@
 // updateHost updates the host from its newest report.
 func (p *Planner) updateHost(h *host, r *cowslipbend.HostReport, now cowslipbend.Time) {
 	h.excuseSilence(now)
-	h.url, h.spec, h.reported, h.lastReportAt = r.URL, *r.Host, true, now
+	h.url, h.spec, h.reported, h.lost, h.lastReportAt = r.URL, *r.Host, true, false, now
 	h.fenced = r.Fence == p.epoch
 	h.coldUntil = now.Add(r.Host.ColdRemaining)
 	p.applyLists(h, r, now)
@@ -407,7 +407,9 @@
 func (p *Planner) ExpireLeases(now cowslipbend.Time) {
 	for _, h := range p.hosts {
 		if h.leaseEnd <= now && (len(h.runs) > 0 || now.Sub(h.lastReportAt) > p.opts.MaxPriorLease) && now.Sub(h.lastReportAt) > reportTimeout {
-			p.addLossEvent(h, &cowslipbend.HostLoss{Life: h.life, Cause: cowslipbend.LossLapsed})
+			if !h.lost {
+				p.addLossEvent(h, &cowslipbend.HostLoss{Life: h.life, Cause: cowslipbend.LossLapsed})
+			}
 			p.removeHost(h)
 		}
 	}
--- a/supervisor/loss.go
+++ b/supervisor/loss.go
@@ -30,6 +30,7 @@
 			loss.Young = append(loss.Young, cowslipbend.LostRun{RunRef: ref, Age: age})
 		}
 	}
+	loss.Unanswered = s.unansweredStarts()
 	slices.SortFunc(loss.Young, func(a, b cowslipbend.LostRun) int { return cmp.Compare(a.Age, b.Age) })
 	loss.Young = loss.Young[:min(len(loss.Young), maxYoungRuns)]
 	s.loss = loss
@@ -37,9 +38,21 @@
 	// as the owner has given up their runs.
 	clear(s.reportedAt)
 	s.settings.Metrics.RecordLostRunner()
-	fields := []any{"life", loss.Life, "cause", cause, "runs", len(s.running), "young", len(loss.Young), "noticed", s.clock.Now().Sub(brokenAt)}
+	fields := []any{"life", loss.Life, "cause", cause, "runs", len(s.running), "young", len(loss.Young), "unanswered", len(loss.Unanswered), "noticed", s.clock.Now().Sub(brokenAt)}
 	if len(loss.Young) > 0 {
 		fields = append(fields, "youngest", loss.Young[0].Task.String(), "age", loss.Young[0].Age)
 	}
 	s.log.Warn("runner lost", fields...)
 }
+
+// unansweredStarts returns the runs whose start the runner has not answered, and may still carry
+// out. The caller holds the lock.
+func (s *Supervisor) unansweredStarts() []cowslipbend.RunRef {
+	var refs []cowslipbend.RunRef
+	for ref, r := range s.runs {
+		if r.startSentAt > 0 && !r.started && s.clock.Now().Sub(r.startSentAt) < cowslipbend.LateCallTimeout && !s.isListed(ref) && len(refs) < maxYoungRuns {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
--- a/supervisor/loss_test.go
+++ b/supervisor/loss_test.go
@@ -52,6 +52,19 @@
 		f.startRun(1)
 		assertLoss(t, f, cowslipbend.LossCrashed, 1)
 	})
+	t.Run("starts without an answer that may still be carried out are listed", func(t *testing.T) {
+		f := newFixture(t)
+		f.connectRunner()
+		f.startRun(1)
+		f.runner.withLock(func(r *runner) {
+			r.startErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "")
+			r.stopErr = r.startErr
+		})
+		f.startRun(2)
+		f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "") })
+		f.waitFor(func() bool { return f.owner.lastReport().Loss != nil })
+		assert.DeepEqual(t, f.owner.lastReport().Loss.Unanswered, []cowslipbend.RunRef{newStart(2).RunRef})
+	})
 	t.Run("a run is named beside hundreds that were started after it", func(t *testing.T) {
 		f := newFixture(t)
 		f.connectRunner()
--- a/supervisor/probe.go
+++ b/supervisor/probe.go
@@ -8,9 +8,6 @@
 
 // Intervals of probes, which are their timeouts too.
 const (
-	// lateCallTimeout is how long after it was sent a start without an answer may still be
-	// carried out, with a margin of a second.
-	lateCallTimeout = 13 * cowslipbend.Second
 	// probeInterval is the time between two probes of a runner that answers, and
 	// reprobeInterval that of one that doesn't.
 	probeInterval   = 100 * cowslipbend.Millisecond
@@ -28,7 +25,7 @@
 // expectLateCalls has the runner probed as long as a start that was sent now may be carried
 // out late. The caller holds the lock.
 func (s *Supervisor) expectLateCalls() {
-	s.lateCallsUntil = s.clock.Now().Add(lateCallTimeout)
+	s.lateCallsUntil = s.clock.Now().Add(cowslipbend.LateCallTimeout)
 	select {
 	case s.probeTrigger <- struct{}{}:
 	default:
