supervisor: a start into a silent runner is refused, and is no suspect of its crash

Its start was sent twice to a runner that had gone down silently. With the loss the agent named each start of the last 2 s as a run that may have crashed the runner, answered or not; a start that met silence has the age zero, the youngest, so that it was blamed, and the job failed after two such crashes.

Before it carries orders out, the agent has the runner return a list, unless it has answered within 50 ms. A start that then gets no answer has reached a runner that was up: it stays a suspect, as are those that were answered or listed.

Costs a call to the runner on the same host for most orders.

--- a/loss.go
+++ b/loss.go
@@ -30,7 +30,7 @@
 	Life  Incarnation `json:"life"`
 	Cause LossCause   `json:"cause"`
 	// Young holds the runs whose start was sent at most YoungRunAge before the
-	// runner was last known to be up, the youngest first.
+	// runner was last known to be up and has reached it, the youngest first.
 	Young []LostRun `json:"young,omitempty"`
 	// Unanswered holds the runs whose start was sent within LateCallTimeout and not answered.
 	// The next incarnation with the same id may still carry it out.
--- a/supervisor/loss.go
+++ b/supervisor/loss.go
@@ -26,6 +26,9 @@
 		if r.startSentAt == 0 {
 			continue // An earlier process of the agent has started it.
 		}
+		if !r.started && !r.reached && !s.isListed(ref) {
+			continue // The runner may have ended before.
+		}
 		if age := max(brokenAt.Sub(r.startSentAt), 0); age <= cowslipbend.YoungRunAge {
 			loss.Young = append(loss.Young, cowslipbend.LostRun{RunRef: ref, Age: age})
 		}
--- a/supervisor/loss_test.go
+++ b/supervisor/loss_test.go
@@ -52,6 +52,24 @@
 		f.startRun(1)
 		assertLoss(t, f, cowslipbend.LossCrashed, 1)
 	})
+	t.Run("a start into a silent runner is refused, and not named", func(t *testing.T) {
+		f := newFixture(t)
+		f.connectRunner()
+		f.startRun(1)
+		f.runner.withLock(func(r *runner) {
+			r.renewErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "")
+			r.startErr = r.renewErr
+		})
+		f.clock.Advance(100)
+		o := &cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{newStart(2)}}
+		want := []cowslipbend.RunResult{{RunRef: newStart(2).RunRef, Kind: cowslipbend.Refused, Reason: "runner does not answer"}}
+		assert.DeepEqual(t, f.sendOrders(o).Results, want)
+		f.runner.withLock(func(r *runner) {
+			assert.Equal(t, len(r.startFences), 1)
+			r.renewErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "")
+		})
+		assertLoss(t, f, cowslipbend.LossCrashed, 1)
+	})
 	t.Run("starts without an answer that may still be carried out are listed", func(t *testing.T) {
 		f := newFixture(t)
 		f.connectRunner()
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -37,7 +37,7 @@
 	if len(o.Starts)+len(o.Stops)+len(o.KnownRuns) == 0 {
 		s.triggerReport() // The owner asks who this agent is, and grants a lease to a report only.
 	}
-	results := s.executeFor(o, life, draining)
+	results := s.executeFor(ctx, o, life, draining)
 	if o.Brief && !newEpoch && o.Life == life {
 		return cowslipbend.HostReport{Agent: s.settings.Life, URL: s.settings.URL, BriefFor: o.Life, Results: results}, nil
 	}
@@ -49,10 +49,10 @@
 }
 
 // executeFor executes orders if they are for the runner's incarnation.
-func (s *Supervisor) executeFor(o *cowslipbend.HostOrders, life cowslipbend.Incarnation, draining bool) []cowslipbend.RunResult {
+func (s *Supervisor) executeFor(ctx context.Context, o *cowslipbend.HostOrders, life cowslipbend.Incarnation, draining bool) []cowslipbend.RunResult {
 	switch {
 	case o.Life == "" || o.Life == life:
-		return s.execute(o, life, draining)
+		return s.execute(ctx, o, life, draining)
 	case life != "" && startedBefore(o.Life, life):
 		return s.resolveEarlier(o, life)
 	}
@@ -92,15 +92,19 @@
 }
 
 // execute starts and stops runs concurrently. It waits for the starts only.
-func (s *Supervisor) execute(o *cowslipbend.HostOrders, life cowslipbend.Incarnation, draining bool) []cowslipbend.RunResult {
+func (s *Supervisor) execute(ctx context.Context, o *cowslipbend.HostOrders, life cowslipbend.Incarnation, draining bool) []cowslipbend.RunResult {
 	if o.Resent {
 		results := s.resolveStarts(o, life)
 		s.stopRuns(o, life)
 		return results
 	}
 	if draining {
-		starts := &cowslipbend.HostOrders{Starts: o.Starts}
-		results := rejectAll(starts, cowslipbend.Refused, "draining")
+		results := rejectAll(&cowslipbend.HostOrders{Starts: o.Starts}, cowslipbend.Refused, "draining")
+		s.stopRuns(o, life)
+		return results
+	}
+	if len(o.Starts) > 0 && !s.confirmContact(ctx) {
+		results := rejectAll(&cowslipbend.HostOrders{Starts: o.Starts}, cowslipbend.Refused, "runner does not answer")
 		s.stopRuns(o, life)
 		return results
 	}
@@ -128,6 +132,18 @@
 	return results
 }
 
+// maxContactAge is the greatest age of the runner's last answer with which starts are sent.
+const maxContactAge = 50 * cowslipbend.Millisecond
+
+// confirmContact reports whether the runner answers. A start that it leaves unanswered after
+// that has reached it, and one that it would not answer is not sent.
+func (s *Supervisor) confirmContact(ctx context.Context) bool {
+	s.mu.Lock()
+	age := s.clock.Now().Sub(s.lastContact)
+	s.mu.Unlock()
+	return age <= maxContactAge || s.renewLease(ctx, false) == nil
+}
+
 // resolveStarts returns the results of starts that were ordered before and not
 // answered. A run that the runner does not list is stopped, so that it can
 // never start, and reported as absent later.
@@ -173,7 +189,8 @@
 		refusal = "runner may carry out earlier calls"
 	}
 	s.addRun(order)
-	s.runs[order.RunRef].startSentAt = now
+	r := s.runs[order.RunRef]
+	r.startSentAt, r.reached = now, now.Sub(s.lastContact) <= maxContactAge
 	s.mu.Unlock()
 	result := &cowslipbend.RunResult{RunRef: order.RunRef}
 	if until == 0 && refusal == "" {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -92,8 +92,10 @@
 	// list and earlier ones may lack the run.
 	started        bool
 	renewalAtStart int64
-	// startSentAt is when this process sent the start; zero if it did not.
+	// startSentAt is when this process sent the start; zero if it did not. reached is set if
+	// the runner had just answered then, so that the start has reached it.
 	startSentAt cowslipbend.Time
+	reached     bool
 	// pace is the last pace that the runner has confirmed, in per cent.
 	pace int
 }
