planner: a runner that goes down and up by turns gets no runs at once

A task may be given up after two such crashes, but here the runner had crashed before any run was on it, and did so whatever ran there; the work was lost each time.

A runner that has started again after the second crash in 10 s at one agent, whatever its id, gets no new runs for 2 s, as a host that fails its runs does, unless more than half of the hosts of its service are left out. So the task is started once during such a time, and done after it.

--- a/conductor/outlier.go
+++ b/conductor/outlier.go
@@ -39,7 +39,7 @@
 	}
 	for i := range events.bans {
 		e := &events.bans[i]
-		c.log.Info("host banned for a time", "host", e.Host, "for", e.For, "failures", e.Failures, "flow", e.Flow)
+		c.log.Info("host banned for a time", "host", e.Host, "for", e.For, "failures", e.Failures, "flapping", e.Flapping, "flow", e.Flow)
 	}
 	for i := range events.missing {
 		e := &events.missing[i]
--- a/planner/health.go
+++ b/planner/health.go
@@ -39,8 +39,10 @@
 type BanEvent struct {
 	Host cowslipbend.Incarnation
 	For  cowslipbend.Span
-	// Failures counts the consecutive failed runs; zero if a run was stalled.
+	// Failures counts the consecutive failed runs; zero if a run was stalled, or if Flapping
+	// is set as the runner goes down and up by turns.
 	Failures int
+	Flapping bool
 	// Flow is that of the last such run.
 	Flow cowslipbend.JobID
 }
--- a/planner/loss.go
+++ b/planner/loss.go
@@ -51,6 +51,9 @@
 		p.addLossEvent(h, loss)
 		if loss.Cause == cowslipbend.LossCrashed {
 			lost = p.recordCrash(h, loss, now)
+			if a := p.agents[r.URL]; a != nil {
+				a.flaps.recordCrash(now)
+			}
 		}
 	}
 	if r.Host == nil {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -136,6 +136,8 @@
 	lastReportNumber int64
 	// runnerLife is the incarnation of its runner.
 	runnerLife cowslipbend.Incarnation
+	// flaps tells whether its runner goes down and up by turns.
+	flaps flaps
 	// knowsRuns is set once this incarnation of the agent has been sent a
 	// description of the runs of this incarnation of the runner.
 	knowsRuns bool
--- a/planner/report.go
+++ b/planner/report.go
@@ -91,7 +91,7 @@
 func (p *Planner) addAgent(r *cowslipbend.HostReport, now cowslipbend.Time) *agent {
 	a := &agent{url: r.URL, life: r.Agent, process: 1, foundAt: now}
 	if earlier := p.agents[r.URL]; earlier != nil {
-		a.runnerLife, a.process = earlier.runnerLife, earlier.process+1
+		a.runnerLife, a.process, a.flaps = earlier.runnerLife, earlier.process+1, earlier.flaps
 		if h := p.hosts[a.runnerLife]; h != nil {
 			h.grant = grant{}
 		}
@@ -158,6 +158,9 @@
 		h = newHost(life)
 		p.hosts[life] = h
 	}
+	if a.flaps.isFlapping(now) {
+		p.banFlapping(h, now)
+	}
 	// Calls that were meant for an earlier incarnation may have reached this one before it was
 	// reported, with deadlines that lie far ahead on its clock.
 	h.leaseEnd = max(h.leaseEnd, now.Add(withDrift(max(p.opts.MaxLease, p.opts.MaxRunnerLease))))
