isolator, planner: a task that crashes its hosts long after its start is given up too

Crashes were attributed to runs of at most 2 s. A task that crashes its host 3 s after its start was never among them, and started again without end.

The runs of a host that has crashed which are not young are counted as well, if the owner has known them for 30 s at most. A task under which three hosts have crashed that way, with no run that lived half as long again as the last, is suspected: it is tried apart from other flows, as before, for longer than its last run lived. A crash meanwhile is blamed on it, and the second one ends its flow: at the fifth start, one less than the users' bound. The crash of a trial says nothing of the older runs beside it.

A lower count, or ages that agree, would find such a task a start earlier. Sound tasks that last for seconds are hit twice often where hosts crash, three times in a row seldom.

--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -17,11 +17,14 @@
 	// suspectCrashes is the number of crashes under young runs of a task from which it
 	// is suspected although it is not a possible cause of them.
 	suspectCrashes = 2
+	// suspectOlder is the number of crashes under older runs of a task from which it is
+	// suspected. Sound tasks are seldom hit so often in a row.
+	suspectOlder = 3
 	// giveUpBlamed is the number of crashes that no other flow can have caused from
 	// which a task is given up.
 	giveUpBlamed = 2
 	// While hosts also crash for other causes it takes carefulBlamed such crashes, or
-	// giveUpBlamed among at least carefulCrashes under young runs.
+	// giveUpBlamed among at least carefulCrashes in all.
 	carefulBlamed  = 3
 	carefulCrashes = 4
 	// giveUpNamed is the number of crashes as one of several possible causes from which
@@ -34,6 +37,8 @@
 type Record struct {
 	// Crashes counts the hosts that crashed under a young run of the task.
 	Crashes int `json:"n,omitempty"`
+	// Older counts those that crashed under an older run of it.
+	Older int `json:"o,omitempty"`
 	// Named counts those of them that it may have caused, Blamed those that no run of
 	// another flow can have caused.
 	Named  int `json:"c,omitempty"`
@@ -46,12 +51,18 @@
 
 // IsValid reports whether the counts are possible.
 func (r *Record) IsValid() bool {
-	return r.Blamed >= 0 && r.Blamed <= r.Named && r.Named <= r.Crashes && r.Age >= 0
+	return r.Blamed >= 0 && r.Blamed <= r.Named && r.Named <= r.all() && r.Crashes >= 0 && r.Older >= 0 && r.Age >= 0
 }
 
+// all returns the number of crashes.
+func (r *Record) all() int { return r.Crashes + r.Older }
+
 // Trial returns how long a run of the task has to work to prove to be harmless: longer
 // than its last one lived until the crash.
 func (r *Record) Trial() cowslipbend.Span {
+	if r.Older > 0 {
+		return r.Age + max(r.Age/2, minTrial)
+	}
 	return min(2*r.Age, cowslipbend.YoungRunAge) + minTrial
 }
 
@@ -62,12 +73,12 @@
 	case r.Named >= giveUpNamed, r.Blamed >= carefulBlamed:
 		return true
 	case otherCauses:
-		return r.Blamed >= giveUpBlamed && r.Crashes >= carefulCrashes
+		return r.Blamed >= giveUpBlamed && r.all() >= carefulCrashes
 	}
 	return r.Blamed >= giveUpBlamed
 }
 
-// Run is a young run on a host that has crashed.
+// Run is a run on a host that has crashed.
 type Run struct {
 	Flow   cowslipbend.JobID
 	Age    cowslipbend.Span
@@ -109,6 +120,32 @@
 	return len(flows) > 0
 }
 
+// AttributeOlder updates the records of the runs of a host that has crashed which were not
+// young, and reports whether any of them may be the cause: those of suspected tasks. A task may
+// crash its hosts some time after its start, and its runs are then among the others of each.
+func AttributeOlder(runs []Run) bool {
+	flows := map[cowslipbend.JobID]bool{}
+	for i := range runs {
+		if runs[i].Record.Suspect {
+			flows[runs[i].Flow] = true
+		}
+	}
+	for i := range runs {
+		record := runs[i].Record
+		record.Older++
+		record.Age = runs[i].Age
+		if !record.Suspect {
+			record.Suspect = record.Older >= suspectOlder
+			continue
+		}
+		record.Named++
+		if len(flows) == 1 {
+			record.Blamed++
+		}
+	}
+	return len(flows) > 0
+}
+
 // findCauses tells for each run whether it may be the cause: the youngest ones if they
 // are young enough, otherwise those of suspected tasks.
 func findCauses(runs []Run) []bool {
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -66,6 +66,23 @@
 	})
 }
 
+// It guards against a task that crashes its hosts long after its start, and is started without
+// end.
+func TestAttributeOlder(t *testing.T) {
+	task := run("f", 3000)
+	for crash := range 5 {
+		neighbours := []isolator.Run{task, run(fmt.Sprint("g", crash), 9000), run(fmt.Sprint("h", crash), 2500)}
+		assert.Equal(t, isolator.AttributeOlder(neighbours), crash >= 3)
+		for _, other := range neighbours[1:] {
+			assert.Assert(t, !other.Record.Suspect && other.Record.IsValid())
+		}
+		assert.Equal(t, task.Record.Suspect, crash >= 2)
+		assert.Assert(t, task.Record.IsValid())
+		assert.Equal(t, task.Record.IsLost(true), crash == 4)
+		assert.Assert(t, task.Record.Trial() > task.Age, "%d", task.Record.Trial())
+	}
+}
+
 func TestIsLost(t *testing.T) {
 	for _, c := range []struct {
 		record         isolator.Record
--- a/planner/crash_test.go
+++ b/planner/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -271,6 +272,15 @@
 			c.assertStates(3, "f1")
 		})
 	}
+	t.Run("long after its start, beside runs of other flows", func(t *testing.T) {
+		c := newCrashes(t, 10, firstOf("f3"))
+		c.crashAge = 3 * cowslipbend.Second
+		c.lengthOf = func(string, cowslipbend.RunRef) cowslipbend.Span { return 5 * cowslipbend.Second }
+		c.submit(20)
+		c.run(90 * cowslipbend.Second)
+		c.assertStarts("f3")
+		c.assertStates(20, "f3")
+	})
 	t.Run("though the owner changes after each crash", func(t *testing.T) {
 		c := newCrashes(t, 10, firstOf("f1"))
 		c.submit(4)
@@ -307,6 +317,24 @@
 			c.assertStates(40)
 		})
 	}
+	t.Run("hosts crash at random under long runs", func(t *testing.T) {
+		for seed := range uint64(20) {
+			c := newCrashes(t, 10, func(cowslipbend.RunRef) bool { return false })
+			c.lengthOf = func(string, cowslipbend.RunRef) cowslipbend.Span { return 5 * cowslipbend.Second }
+			rng := rand.New(rand.NewPCG(seed, 1))
+			for i := range 12 {
+				c.plan.Submit(flow(fmt.Sprint("f", i), step(4, 1)))
+			}
+			for c.now < 60000 {
+				c.run(cowslipbend.Span(1500 + 50*rng.IntN(60)))
+				if name := c.names()[rng.IntN(10)]; c.lost[name] == 0 {
+					c.crash(name)
+				}
+			}
+			c.run(60 * cowslipbend.Second)
+			c.assertStates(12)
+		}
+	})
 	t.Run("its hosts leave", func(t *testing.T) {
 		c := newCrashes(t, 4, firstOf("f0"))
 		c.planned = true
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -66,14 +66,14 @@
 	return p.trials.otherCauseAt > 0 && now.Sub(p.trials.otherCauseAt) < otherCausesRetention
 }
 
-// crashedRun is a young run on a host that has crashed.
+// crashedRun is a run on a host that has crashed.
 type crashedRun struct {
 	ref  cowslipbend.RunRef
 	flow *flow
 	task *task
 }
 
-// recordCrash updates what is known of the tasks with young runs on a host that has
+// recordCrash updates what is known of the tasks with runs on a host that has
 // crashed, and returns those that are to be given up.
 func (p *Planner) recordCrash(h *host, loss *cowslipbend.HostLoss, now cowslipbend.Time) []crashedRun {
 	var crashed []crashedRun
@@ -89,7 +89,14 @@
 			runs = append(runs, isolator.Run{Flow: l.Task.Job, Age: l.Age, Record: &t.crashes})
 		}
 	}
-	if !isolator.Attribute(runs) && len(h.runs) > 0 {
+	tried := slices.ContainsFunc(runs, func(r isolator.Run) bool { return r.Record.Suspect })
+	found := isolator.Attribute(runs)
+	if !tried { // The crash of a trial says nothing of the other runs on that host.
+		older, olderRuns := p.olderRuns(h, loss, now)
+		crashed = append(crashed, older...)
+		found = isolator.AttributeOlder(olderRuns) || found
+	}
+	if !found && len(h.runs) > 0 {
 		p.trials.otherCauseAt = now
 	}
 	otherCauses := p.hasOtherCauses(now)
@@ -109,6 +116,31 @@
 	return lost
 }
 
+// maxCrashAge is the greatest age at which a run is counted as one under which its host has
+// crashed.
+const maxCrashAge = 30 * cowslipbend.Second
+
+// olderRuns returns the runs on a host that has crashed which are not young, if they are not
+// too old to be the cause.
+func (p *Planner) olderRuns(h *host, loss *cowslipbend.HostLoss, now cowslipbend.Time) (crashed []crashedRun, runs []isolator.Run) {
+	young := map[cowslipbend.RunRef]bool{}
+	for i := range loss.Young {
+		young[loss.Young[i].RunRef] = true
+	}
+	for ref, pl := range h.runs {
+		age := now.Sub(pl.confirmedAt)
+		f := p.flows[ref.Task.Job]
+		if f == nil || f.finalState != "" || young[ref] || pl.confirmedAt == 0 || age > maxCrashAge {
+			continue
+		}
+		if t := f.task(ref.Task); t != nil && t.phase == phasePlaced && t.holds(ref.Run) {
+			crashed = append(crashed, crashedRun{ref, f, t})
+			runs = append(runs, isolator.Run{Flow: ref.Task.Job, Age: age, Record: &t.crashes})
+		}
+	}
+	return crashed, runs
+}
+
 // checkSurvival clears a task once a run of it has worked for long enough.
 func (p *Planner) checkSurvival(h *host, f *flow, t *task, ref cowslipbend.RunRef, pl *placement, listedAt, now cowslipbend.Time) {
 	if t.crashes == (isolator.Record{}) || !t.holds(ref.Run) || pl.confirmedAt == 0 || listedAt.Sub(pl.confirmedAt) < t.crashes.Trial() {
