--- a/stand/soaker/client.go
+++ b/stand/soaker/client.go
@@ -162,10 +162,19 @@
 	floodTime        = 3 * time.Second
 	floodConnections = 4
 	maxFloodJobs     = 120
+	maxLongJobs      = 40 // where tasks are long
 )
 
+// floodJobs returns the number of jobs of a flood.
+func (f *fleet) floodJobs() int {
+	if f.opts.Restarts {
+		return maxLongJobs
+	}
+	return maxFloodJobs
+}
+
 // flood submits jobs as fast as the entries answer, over some connections at once and
-// without waiting for their ends, for floodTime or until it has submitted maxFloodJobs.
+// without waiting for their ends, for floodTime or until it has submitted floodJobs.
 func (c *client) flood(ctx context.Context) error {
 	floodCtx, cancel := context.WithTimeout(ctx, floodTime)
 	defer cancel()
@@ -174,7 +183,7 @@
 		part := &client{fleet: c.fleet, recorder: c.recorder, rnd: rand.New(rand.NewPCG(c.rnd.Uint64(), c.rnd.Uint64()))}
 		part.http.Transport = &http.Transport{MaxIdleConnsPerHost: 1}
 		group.Go(func() error {
-			for n := 0; n < maxFloodJobs/floodConnections && floodCtx.Err() == nil; n++ {
+			for n := 0; n < c.fleet.floodJobs()/floodConnections && floodCtx.Err() == nil; n++ {
 				// A refusal is final: a flood that repeats what was refused is
 				// the same to the entries.
 				part.submit(floodCtx, part.newJob(), true)
--- a/stand/soaker/soaker_test.go
+++ b/stand/soaker/soaker_test.go
@@ -28,17 +28,19 @@
 // regressions lists the seeds that run in CI with the reason: the default seeds,
 // and each seed that has violated an invariant.
 var regressions = map[int]regression{
-	1: {cause: "the default", span: 6 * cowslipbend.Second},
-	2: {cause: "the default of partitions", span: 20 * cowslipbend.Second, partitions: true},
+	1:  {cause: "the default", span: 6 * cowslipbend.Second, agents: 4, clients: 6},
+	2:  {cause: "the default of partitions", span: 20 * cowslipbend.Second, partitions: true, agents: 4, clients: 6},
+	37: {cause: "a runner that restarted under its id had a longer lease than its owner knew", span: 9 * cowslipbend.Second, restarts: true, agents: 6, clients: 12},
 }
 
 // regression is how a seed runs.
 type regression struct {
 	cause string
-	// span is for how long faults are injected, and partitions whether these are partitions
-	// only.
-	span       cowslipbend.Span
-	partitions bool
+	// span is for how long faults are injected, and partitions and restarts whether these are
+	// partitions or restarts of runners only.
+	span                 cowslipbend.Span
+	partitions, restarts bool
+	agents, clients      int
 }
 
 // TestSoak runs each seed for a short time. Longer runs and new seeds are
@@ -50,7 +52,7 @@
 			t.Parallel()
 			dir := t.TempDir()
 			r, err := soaker.Run(t.Context(), soaker.Options{
-				Bin: bin, Dir: dir, Entries: 3, Agents: 4, Clients: 6, InjectionTime: run.span, Partitions: run.partitions, Seed: seed, BasePort: 22000,
+				Bin: bin, Dir: dir, Entries: 3, Agents: run.agents, Clients: run.clients, InjectionTime: run.span, Partitions: run.partitions, Restarts: run.restarts, Seed: seed, BasePort: 22000,
 				Log: hclog.New(&hclog.LoggerOptions{Output: t.Output(), Level: hclog.Info}),
 			})
 			assert.NilError(t, err)
@@ -59,7 +61,7 @@
 			assert.Assert(t, r.Injected > 0)
 			files, err := os.ReadDir(dir)
 			assert.NilError(t, err)
-			assert.Equal(t, len(files), 2*(3+4), "each process has settings and a log")
+			assert.Equal(t, len(files), 2*(3+run.agents), "each process has settings and a log")
 		})
 	}
 }
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -55,8 +55,9 @@
 	stopOrders []cowslipbend.RunRef
 	// startUntil is the time of the last start from which the runner ignores it.
 	startUntil cowslipbend.Time
-	// startFences holds the fences of all starts.
+	// startFences holds the fences of all starts, paceFence that of the last change of a pace.
 	startFences []cowslipbend.Fence
+	paceFence   cowslipbend.Fence
 	fence       cowslipbend.Fence
 	// paces holds the last pace that was set for each run.
 	paces map[cowslipbend.RunRef]int
@@ -130,6 +131,7 @@
 	if err := r.admit(fence); err != nil {
 		return err
 	}
+	r.paceFence = fence
 	if r.paces == nil {
 		r.paces = map[cowslipbend.RunRef]int{}
 	}
@@ -477,6 +479,9 @@
 	assert.Assert(t, percent < 80, "%d", percent)
 	_, set := paceOf(light.RunRef)
 	assert.Assert(t, !set)
+	f.runner.withLock(func(r *runner) {
+		assert.Equal(t, r.paceFence, r.startFences[0], "a later incarnation refuses it as it does starts")
+	})
 }
 
 func TestLease(t *testing.T) {
