--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -111,8 +111,8 @@
 	return &http.Client{Transport: newHTTP1Transport(conns, dial), CheckRedirect: noRedirect}
 }
 
-// VerifiedHTTP1 is like PooledHTTP1, and has the function verify each new connection before a
-// request is sent on it. If the function says that the connection cannot be used after that,
+// VerifiedHTTP1 is like PooledHTTP1 with at most conns connections to each peer, and has the
+// function verify each new connection before a request is sent on it. If the function says that the connection cannot be used after that,
 // the request is sent on another one. Its error is that of a connection that could not be made.
 func VerifiedHTTP1(conns int, verify func(net.Conn) (usable bool, err error)) *http.Client {
 	dialVerified := func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -130,7 +130,9 @@
 		}
 		return dial(ctx, network, addr)
 	}
-	return &http.Client{Transport: newHTTP1Transport(conns, dialVerified), CheckRedirect: noRedirect}
+	tr := newHTTP1Transport(conns, dialVerified)
+	tr.MaxConnsPerHost = conns
+	return &http.Client{Transport: tr, CheckRedirect: noRedirect}
 }
 
 func newHTTP1Transport(conns int, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Transport {
