supervisor: a runner with another id is not probed for its restart

A probe that reaches a runner with another id took it for one that doesn't answer, and repeated the call each 30 ms. That runner refuses calls for the earlier id anyway, so the usual interval is enough. Found by reading; no test broke.

--- a/supervisor/probe.go
+++ b/supervisor/probe.go
@@ -72,7 +72,8 @@
 	case "", cowslipbend.KindConflict, cowslipbend.KindLimited:
 		return true
 	case cowslipbend.KindStale:
-		return list.Life != "" && list.Life != life && s.fenceOff(ctx, list.Life)
+		// A runner with another id refuses earlier calls anyway.
+		return list.Life == "" || list.Life == life || s.fenceOff(ctx, list.Life)
 	}
 	return false
 }
