--- a/planner/report.go
+++ b/planner/report.go
@@ -251,9 +251,7 @@
 	if t == nil {
 		return
 	}
-	if t.phase == phaseWaiting && s.Run <= t.run && pl.def != nil && !pl.def.Gang {
-		p.takeBack(f, t, h, s.RunRef, pl, now)
-	}
+	p.takeBack(f, t, h, s.RunRef, pl, now)
 	if pl.hasWorked(now) {
 		t.failedOn = ""
 	}
@@ -270,9 +268,12 @@
 	}
 }
 
-// takeBack places a waiting task on a host that lists a run of it: the run was given up, and its
-// start was carried out later.
+// takeBack places the task on a host that lists a run of it if it waits: the run was given up, and
+// its start was carried out later.
 func (p *Planner) takeBack(f *flow, t *task, h *host, ref cowslipbend.RunRef, pl *placement, now cowslipbend.Time) {
+	if t.phase != phaseWaiting || ref.Run > t.run || pl.def == nil || pl.def.Gang {
+		return
+	}
 	t.phase = phasePlaced
 	if ref.Run == t.run {
 		t.host, t.placedAt = h.life, now
