supervisor: five tests no longer depend on how fast the supervisor is beside them

- TestAdmission, TestOrders (a start is confirmed …) and TestLoss (a start without an answer …) make renewals fail before they send starts.
Since starts are refused while the runner is silent, they were refused when the last renewal was more than 50 ms old on the test's clock.
In the first two only renewals that may wait fail now, which is what they need; in the third, renewals fail after the start.
- TestOrders (the runner enforces a new epoch …): a report to the new owner could number the process before the answer to the orders was made.
The owner now numbers it after that, so that the answer never has the runner.
- TestLoss (a start into a silent runner …): a renewal that was answered before could be recorded after the clock had advanced.
It waits for one that failed.
- TestEnds (a stopped run counts as absent …) looked at the last report only, and the next one has no results.
Red on too, in 1 of 8 runs.
It looks at all reports.

--- a/supervisor/loss_test.go
+++ b/supervisor/loss_test.go
@@ -47,9 +47,9 @@
 		f.runner.withLock(func(r *runner) {
 			r.startErr = cowslipbend.Fail(cowslipbend.KindUnknown, "reset", "")
 			r.stopErr = r.startErr
-			r.renewErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "")
 		})
 		f.startRun(1)
+		f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "") })
 		assertLoss(t, f, cowslipbend.LossCrashed, 1)
 	})
 	t.Run("a start into a silent runner is refused, and not named", func(t *testing.T) {
@@ -60,6 +60,7 @@
 			r.renewErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "")
 			r.startErr = r.renewErr
 		})
+		f.waitForFailure()
 		f.clock.Advance(100)
 		o := &cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{newStart(2)}}
 		want := []cowslipbend.RunResult{{RunRef: newStart(2).RunRef, Kind: cowslipbend.Refused, Reason: "runner does not answer"}}
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -40,6 +40,10 @@
 	// startErr, renewErr and stopErr are returned by the calls.
 	startErr error
 	renewErr error
+	// pollErr is returned by renewals that may wait for an end, before renewErr. failures counts
+	// the renewals of leases that failed.
+	pollErr  error
+	failures int
 	stopErr  error
 	// life is the incarnation that answers, if it is not the constant.
 	life cowslipbend.Incarnation
@@ -96,7 +100,7 @@
 	return r.stopErr
 }
 
-func (r *runner) RenewLeases(ctx context.Context, asked cowslipbend.Incarnation, until cowslipbend.Time, acked int64, _ cowslipbend.Span, fence cowslipbend.Fence) (cowslipbend.RunList, error) {
+func (r *runner) RenewLeases(ctx context.Context, asked cowslipbend.Incarnation, until cowslipbend.Time, acked int64, wait cowslipbend.Span, fence cowslipbend.Fence) (cowslipbend.RunList, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if asked == r.silentLife {
@@ -122,7 +126,14 @@
 	list := cowslipbend.RunList{Life: cmp.Or(r.life, life), Clock: r.clock.Now(), MoreEnds: r.moreEnds}
 	list.Running = append(list.Running, r.running...)
 	list.Ends = append(list.Ends, r.ends...)
-	return list, r.renewErr
+	err := r.renewErr
+	if wait > 0 {
+		err = cmp.Or(r.pollErr, r.renewErr)
+	}
+	if err != nil && until > 0 {
+		r.failures++
+	}
+	return list, err
 }
 
 func (r *runner) SetPace(_ context.Context, _ cowslipbend.Incarnation, ref cowslipbend.RunRef, percent int, fence cowslipbend.Fence) error {
@@ -287,15 +298,26 @@
 	f.t.Fatal("condition did not hold within 40 s of the test's clock")
 }
 
-// changeOwner has another owner send brief orders, and waits until it gets a report with the
-// runner. It returns the answer to the orders.
+// waitForFailure waits until a renewal has failed, so that earlier ones have been recorded.
+func (f *fixture) waitForFailure() {
+	f.t.Helper()
+	f.waitFor(func() (failed bool) {
+		f.runner.withLock(func(r *runner) { failed = r.failures > 0 })
+		return failed
+	})
+}
+
+// changeOwner has another owner send brief orders, number the process after that, and waits until
+// it gets a report with the runner. It returns the answer to the orders.
 func (f *fixture) changeOwner() cowslipbend.HostReport {
 	f.t.Helper()
-	f.owner.withLock(func(o *owner) { o.epoch = epoch + 1 })
+	unknown, process := int64(0), int64(1)
+	f.owner.withLock(func(o *owner) { o.epoch, o.process = epoch+1, &unknown })
 	answer := f.sendOrders(&cowslipbend.HostOrders{Epoch: epoch + 1, Life: life, Brief: true})
 	f.runner.withLock(func(r *runner) {
 		assert.Assert(f.t, r.fence >= cowslipbend.NewFence(epoch+1, 0, 0), "the runner refuses the last owner")
 	})
+	f.owner.withLock(func(o *owner) { o.process = &process })
 	f.waitFor(func() bool { return f.owner.lastReport().Host != nil && *f.owner.lastReport().Epoch == epoch+1 })
 	return answer
 }
@@ -326,7 +348,7 @@
 		f := newFixture(t)
 		f.connectRunner()
 		f.runner.withLock(func(r *runner) {
-			r.omitsStarted, r.renewErr = true, cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "")
+			r.omitsStarted, r.pollErr = true, cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "")
 		})
 		s := newStart(0)
 		r := f.sendOrders(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{s}})
@@ -465,8 +487,8 @@
 	f.runner.withLock(func(r *runner) { r.running[0].TailOrCPU = 12 })
 	sampledBy := f.clock.Now().Add(2 * cowslipbend.Second)
 	f.waitFor(func() bool { return f.clock.Now() > sampledBy })
-	// From here on renewals fail, so that no further decisions about paces are made.
-	f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "") })
+	// From here on these renewals fail, so that no further decisions about paces are made.
+	f.runner.withLock(func(r *runner) { r.pollErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "") })
 	f.sendOrders(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{heavy, light}})
 	paceOf := func(ref cowslipbend.RunRef) (percent int, set bool) {
 		f.runner.mu.Lock()
@@ -580,9 +602,12 @@
 		f.owner.mu.Unlock()
 		f.runner.withLock(func(r *runner) { r.moreEnds = false })
 		f.sendOrders(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Stops: []cowslipbend.RunRef{ref}})
-		f.waitFor(func() bool {
-			last := f.owner.lastReport()
-			return len(last.Results) == 1 && last.Results[0].Kind == cowslipbend.Absent && !last.MoreEnds
+		f.waitFor(func() bool { // The next report has no results again.
+			f.owner.mu.Lock()
+			defer f.owner.mu.Unlock()
+			return slices.ContainsFunc(f.owner.reports, func(r cowslipbend.HostReport) bool {
+				return len(r.Results) == 1 && r.Results[0].Kind == cowslipbend.Absent && !r.MoreEnds
+			})
 		})
 	})
 }
