supervisor: a runner that refuses a renewal for its fence has not lost contact

What callers saw: a crash was put down to the wrong tasks.

Cause: a refused renewal set the time at which contact broke, from which the ages of the runs count that are reported with a crash. The refusal is an answer. Runs that were started between it and a crash counted as having lived for 0 s.

--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -56,7 +56,7 @@
 		return false
 	}
 	s.log.Warn("runner did not confirm the lease", "life", life, "error", err)
-	if s.contactBrokenAt == 0 {
+	if s.contactBrokenAt == 0 && cowslipbend.KindOf(err) != cowslipbend.KindConflict {
 		s.contactBrokenAt = s.clock.Now()
 	}
 	if s.unreachableRenewals++; cowslipbend.KindOf(err) != cowslipbend.KindMissing {
--- a/supervisor/loss_test.go
+++ b/supervisor/loss_test.go
@@ -84,6 +84,21 @@
 		f.waitFor(func() bool { return f.owner.lastReport().Loss != nil })
 		assert.DeepEqual(t, f.owner.lastReport().Loss.Unanswered, []cowslipbend.RunRef{newStart(2).RunRef})
 	})
+	t.Run("a runner that has refused a renewal was up", func(t *testing.T) {
+		f := newFixture(t)
+		f.connectRunner()
+		f.startRun(1)
+		f.runner.withLock(func(r *runner) { r.pollErr = cowslipbend.Fail(cowslipbend.KindConflict, "fence", "") })
+		f.waitForFailure()
+		f.clock.Advance(cowslipbend.Second)
+		f.runner.withLock(func(r *runner) {
+			r.pollErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "")
+			r.renewErr = r.pollErr
+		})
+		assertLoss(t, f, cowslipbend.LossCrashed, 1)
+		age := f.owner.lastReport().Loss.Young[0].Age
+		assert.Assert(t, age >= cowslipbend.Second, "%d ms", age)
+	})
 	t.Run("a run is named beside hundreds that were started after it", func(t *testing.T) {
 		f := newFixture(t)
 		f.connectRunner()
