planner, isolator: a crash counts once, however many owners hear of it

What callers saw: LOST, a job shown as failed though no task of it has failed.

Cause: an agent reports the loss of a runner that went for good to each owner. The second time the task is given up.

Why this works: the record of a task names the incarnation of its last crash. An owner that restores it knows that it has been counted.

TestCrashCountsOnce failed before: state failed instead of queued.

--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -47,6 +47,9 @@
 	Age cowslipbend.Span `json:"a,omitempty"`
 	// Suspect is set while the task is to be tried apart from other flows.
 	Suspect bool `json:"s,omitempty"`
+	// Life is the incarnation of the last of these crashes. An agent reports a crash to each
+	// owner, and it counts once.
+	Life cowslipbend.Incarnation `json:"l,omitempty"`
 }
 
 // IsValid reports whether the counts are possible.
--- a/planner/lease_test.go
+++ b/planner/lease_test.go
@@ -113,3 +113,31 @@
 		assert.Equal(t, again.Task, ref.Task)
 	})
 }
+
+// TestCrashCountsOnce guards against a job that is shown as failed though no task of it has
+// crashed a host twice: the agent reports the loss of its runner to each new owner until the
+// runner is back, and the run whose start was not answered keeps its place meanwhile.
+func TestCrashCountsOnce(t *testing.T) {
+	p := newPool(t, 1)
+	f := flow("f", step(1, 1))
+	p.plan.Submit(f)
+	name, ref := onlyStart(t, p.decide())
+	r := p.reports[name]
+	r.LostLife, r.Host = r.Host.Life, nil
+	r.Loss = &cowslipbend.HostLoss{
+		Life: r.LostLife, Cause: cowslipbend.LossCrashed,
+		Young: []cowslipbend.LostRun{{RunRef: ref, Age: 2}}, Unanswered: []cowslipbend.RunRef{ref},
+	}
+	p.report(name)
+	for range 3 {
+		row, err := p.plan.TakeProgress("f")
+		assert.NilError(t, err)
+		successor := newPool(t, 0)
+		assert.NilError(t, successor.plan.Restore(f, row, successor.now))
+		successor.reports[name] = r
+		successor.report(name)
+		successor.report(name)
+		p = successor
+	}
+	assertState(t, p, "f", cowslipbend.FlowQueued)
+}
--- a/planner/loss.go
+++ b/planner/loss.go
@@ -49,7 +49,7 @@
 	var lost []crashedRun
 	if !h.lost {
 		p.addLossEvent(h, loss)
-		if loss.Cause == cowslipbend.LossCrashed {
+		if loss.Cause == cowslipbend.LossCrashed && !p.hasRecorded(h) {
 			lost = p.recordCrash(h, loss, now)
 			if a := p.agents[r.URL]; a != nil {
 				a.flaps.recordCrash(now)
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -102,6 +102,7 @@
 	otherCauses := p.hasOtherCauses(now)
 	var lost []crashedRun
 	for _, c := range crashed {
+		c.task.crashes.Life = h.life
 		p.markDirty(c.flow)
 		e := TrialEvent{Task: c.ref.Task, Run: c.ref.Run, Outcome: TrialDue, Host: h.life, Record: c.task.crashes, OtherCauses: otherCauses}
 		switch {
@@ -116,6 +117,18 @@
 	return lost
 }
 
+// hasRecorded reports whether an earlier owner has recorded the crash of the host.
+func (p *Planner) hasRecorded(h *host) bool {
+	for ref := range h.runs {
+		if f := p.flows[ref.Task.Job]; f != nil {
+			if t := f.task(ref.Task); t != nil && t.crashes.Life == h.life {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // maxCrashAge is the greatest age at which a run is counted as one under which its host has
 // crashed.
 const maxCrashAge = 30 * cowslipbend.Second
