elector: TestBacklog looks at an entry before that can have asked the owner

The entry whose missing summary it asserts ran already, and had at times asked the owner before the assertion. It is now started after that, so that what is asserted always holds.

--- a/elector/backlog_test.go
+++ b/elector/backlog_test.go
@@ -22,9 +22,10 @@
 	}
 	waitFor(t, "the owner has a summary", hasRecent(owner))
 	waitFor(t, "the other entry has the owner's summary", hasRecent(other))
-	third := newEntry(t, table, "c")
+	third := newIdleEntry(t, table, "c", 100)
 	s, _ := third.Backlog()
 	assert.Assert(t, s == nil, "an entry that has not asked the owner has none")
+	third.start()
 	epoch := owner.Conductor().Epoch()
 	owner.kill()
 	waitFor(t, "another entry owns the flows", func() bool {
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -103,9 +103,9 @@
 // entry is an elector that other entries can call.
 type entry struct {
 	*elector.Elector
-	store *store
-	srv   *httptest.Server
-	kill  func()
+	store       *store
+	srv         *httptest.Server
+	start, kill func()
 }
 
 // newConductor returns the conductor of an entry without flows or rules.
@@ -120,6 +120,14 @@
 }
 
 func newEntryWithStrength(t *testing.T, table *keeper.Table, id string, strength elector.Strength) *entry {
+	t.Helper()
+	e := newIdleEntry(t, table, id, strength)
+	e.start()
+	return e
+}
+
+// newIdleEntry returns an entry that does nothing until it is started.
+func newIdleEntry(t *testing.T, table *keeper.Table, id string, strength elector.Strength) *entry {
 	t.Helper()
 	e := &entry{store: &store{Table: table}}
 	mux := http.NewServeMux()
@@ -131,7 +139,7 @@
 	e.Elector = elector.New(self, e.store, caller.New(nil), timer.Host{}, log, newConductor)
 	ctx, cancel := context.WithCancel(t.Context())
 	var g errgroup.Group
-	g.Go(func() error { return e.Run(ctx) })
+	e.start = func() { g.Go(func() error { return e.Run(ctx) }) }
 	e.kill = sync.OnceFunc(func() {
 		e.srv.CloseClientConnections()
 		e.srv.Close()
