planner: one piece each looks up the runs of a crash, ends a run that is gone, and finds the agent of a report

recordCrash and olderRuns had a copy each of the lookup, keepUnanswered and three older places one of the end, processOf, Reply and changedPairs one of the test whether the agent is the latest. keepUnanswered held the placements that it keeps, of which only their names were used. No change in behaviour.

--- a/planner/loss.go
+++ b/planner/loss.go
@@ -72,21 +72,18 @@
 // runs whose start that may carry out. They keep their place until it is reported, and refuses
 // them, or until none can any more.
 func (p *Planner) keepUnanswered(h *host, loss *cowslipbend.HostLoss, now cowslipbend.Time) {
-	kept := map[cowslipbend.RunRef]*placement{}
+	unanswered := make(map[cowslipbend.RunRef]bool, len(loss.Unanswered))
 	for _, ref := range loss.Unanswered {
-		if pl := h.runs[ref]; pl != nil {
-			kept[ref] = pl
+		unanswered[ref] = true
+	}
+	for ref := range h.runs {
+		if !unanswered[ref] {
+			p.lapseRun(h, ref)
 		}
 	}
-	if len(kept) == 0 {
+	if len(h.runs) == 0 {
 		p.removeHost(h)
 		return
 	}
-	for ref := range h.runs {
-		if kept[ref] == nil {
-			h.removeRun(ref)
-			p.endRun(ref, cowslipbend.EndLapsed, "")
-		}
-	}
 	h.lost, h.reported, h.grant, h.leaseEnd = true, false, grant{}, now.Add(cowslipbend.LateCallTimeout)
 }
--- a/planner/report.go
+++ b/planner/report.go
@@ -174,8 +174,7 @@
 // removeHost removes a host and ends all its runs.
 func (p *Planner) removeHost(h *host) {
 	for ref := range h.runs {
-		h.removeRun(ref)
-		p.endRun(ref, cowslipbend.EndLapsed, "")
+		p.lapseRun(h, ref)
 	}
 	delete(p.hosts, h.life)
 	p.estimator.ForgetHost(string(h.life))
@@ -183,6 +182,12 @@
 	p.forgetGrade(h)
 }
 
+// lapseRun ends a run of which nothing is left on the host.
+func (p *Planner) lapseRun(h *host, ref cowslipbend.RunRef) {
+	h.removeRun(ref)
+	p.endRun(ref, cowslipbend.EndLapsed, "")
+}
+
 // applyLists updates the host from the lists of running and ended runs in a
 // report.
 func (p *Planner) applyLists(h *host, r *cowslipbend.HostReport, now cowslipbend.Time) {
@@ -310,8 +315,7 @@
 	if !fenced && !timedOut {
 		return false
 	}
-	h.removeRun(ref)
-	p.endRun(ref, cowslipbend.EndLapsed, "")
+	p.lapseRun(h, ref)
 	return true
 }
 
@@ -336,8 +340,7 @@
 		h.backoffUntil = now.Add(placementBackoff)
 		fallthrough
 	case cowslipbend.Absent:
-		h.removeRun(res.RunRef)
-		p.endRun(res.RunRef, cowslipbend.EndLapsed, "")
+		p.lapseRun(h, res.RunRef)
 	}
 }
 
@@ -354,7 +357,7 @@
 		reply.Pairs = p.changedPairs(r, h)
 		reply.PairsVersion = p.estimator.Version()
 		h.leaseEnd = max(h.leaseEnd, now.Add(withDrift(p.opts.MaxLease)))
-		if a := p.agents[r.URL]; a != nil && a.life == r.Agent && r.Number > h.grant.report {
+		if p.agentOf(r) != nil && r.Number > h.grant.report {
 			h.grant = grant{report: r.Number, at: now}
 		}
 	}
@@ -365,18 +368,27 @@
 // to be the latest one at its address.
 func (p *Planner) processOf(r *cowslipbend.HostReport) *int64 {
 	number := int64(0)
-	if a := p.agents[r.URL]; a != nil && a.life == r.Agent {
+	if a := p.agentOf(r); a != nil {
 		number = a.process
 	}
 	return &number
 }
 
+// agentOf returns the agent that sent the report, or nil if it is not known to be the latest one
+// at its address.
+func (p *Planner) agentOf(r *cowslipbend.HostReport) *agent {
+	if a := p.agents[r.URL]; a != nil && a.life == r.Agent {
+		return a
+	}
+	return nil
+}
+
 // changedPairs returns the estimates for the serving images of the host that the
 // reporting agent lacks: for images that are new on its host all of them, and for
 // others those that have changed since the version that it has.
 func (p *Planner) changedPairs(r *cowslipbend.HostReport, h *host) []cowslipbend.ImagePair {
-	a := p.agents[r.URL]
-	if a == nil || a.life != r.Agent {
+	a := p.agentOf(r)
+	if a == nil {
 		return nil
 	}
 	known := r.PairsVersion
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -69,32 +69,47 @@
 // crashedRun is a run on a host that has crashed.
 type crashedRun struct {
 	ref  cowslipbend.RunRef
+	age  cowslipbend.Span
 	flow *flow
 	task *task
 }
 
+// addCrashedRun appends a run of the age, unless its task or flow has ended or does without it.
+func (p *Planner) addCrashedRun(runs []crashedRun, ref cowslipbend.RunRef, age cowslipbend.Span) []crashedRun {
+	f := p.flows[ref.Task.Job]
+	if f == nil || f.finalState != "" {
+		return runs
+	}
+	if t := f.task(ref.Task); t != nil && t.phase == phasePlaced && t.holds(ref.Run) {
+		runs = append(runs, crashedRun{ref, age, f, t})
+	}
+	return runs
+}
+
+// isolatorRuns returns the runs as the isolator takes them.
+func isolatorRuns(crashed []crashedRun) []isolator.Run {
+	runs := make([]isolator.Run, len(crashed))
+	for i, c := range crashed {
+		runs[i] = isolator.Run{Flow: c.ref.Task.Job, Age: c.age, Record: &c.task.crashes}
+	}
+	return runs
+}
+
 // recordCrash updates what is known of the tasks with runs on a host that has
 // crashed, and returns those that are to be given up.
 func (p *Planner) recordCrash(h *host, loss *cowslipbend.HostLoss, now cowslipbend.Time) []crashedRun {
 	var crashed []crashedRun
-	var runs []isolator.Run
 	for i := range loss.Young {
-		l := &loss.Young[i]
-		f := p.flows[l.Task.Job]
-		if f == nil || f.finalState != "" || h.runs[l.RunRef] == nil {
-			continue
-		}
-		if t := f.task(l.Task); t != nil && t.phase == phasePlaced && t.holds(l.Run) {
-			crashed = append(crashed, crashedRun{l.RunRef, f, t})
-			runs = append(runs, isolator.Run{Flow: l.Task.Job, Age: l.Age, Record: &t.crashes})
+		if l := &loss.Young[i]; h.runs[l.RunRef] != nil {
+			crashed = p.addCrashedRun(crashed, l.RunRef, l.Age)
 		}
 	}
-	tried := slices.ContainsFunc(runs, func(r isolator.Run) bool { return r.Record.Suspect })
-	found := isolator.Attribute(runs)
+	tried := slices.ContainsFunc(crashed, func(c crashedRun) bool { return c.task.crashes.Suspect })
+	found := isolator.Attribute(isolatorRuns(crashed))
 	if !tried { // The crash of a trial says nothing of the other runs on that host.
-		older, olderRuns := p.olderRuns(h, loss, now)
+		older := p.olderRuns(h, loss, now)
 		crashed = append(crashed, older...)
-		found = isolator.AttributeOlder(olderRuns) || found
+		found = isolator.AttributeOlder(isolatorRuns(older)) || found
 	}
 	if !found && len(h.runs) > 0 {
 		p.trials.otherCauseAt = now
@@ -135,23 +150,18 @@
 
 // olderRuns returns the runs on a host that has crashed which are not young, if they are not
 // too old to be the cause.
-func (p *Planner) olderRuns(h *host, loss *cowslipbend.HostLoss, now cowslipbend.Time) (crashed []crashedRun, runs []isolator.Run) {
+func (p *Planner) olderRuns(h *host, loss *cowslipbend.HostLoss, now cowslipbend.Time) []crashedRun {
+	var older []crashedRun
 	young := map[cowslipbend.RunRef]bool{}
 	for i := range loss.Young {
 		young[loss.Young[i].RunRef] = true
 	}
 	for ref, pl := range h.runs {
-		age := now.Sub(pl.confirmedAt)
-		f := p.flows[ref.Task.Job]
-		if f == nil || f.finalState != "" || young[ref] || pl.confirmedAt == 0 || age > maxCrashAge {
-			continue
-		}
-		if t := f.task(ref.Task); t != nil && t.phase == phasePlaced && t.holds(ref.Run) {
-			crashed = append(crashed, crashedRun{ref, f, t})
-			runs = append(runs, isolator.Run{Flow: ref.Task.Job, Age: age, Record: &t.crashes})
+		if age := now.Sub(pl.confirmedAt); !young[ref] && pl.confirmedAt > 0 && age <= maxCrashAge {
+			older = p.addCrashedRun(older, ref, age)
 		}
 	}
-	return crashed, runs
+	return older
 }
 
 // checkSurvival clears a task once a run of it has worked for long enough.
