loss: runs of a loss are checked as those of lists are

RunRef.check was there already; the change had written a weaker one beside it. A run with a negative round, step or index in a loss is now refused too, as it is in the lists of the same report. No agent sends any.

--- a/host.go
+++ b/host.go
@@ -11,8 +11,6 @@
 	Run  Attempt `json:"run"`
 }
 
-func (r RunRef) isRun() bool { return r.Task.Job != "" && r.Run >= 1 }
-
 // HostSpec describes a host, as one incarnation of its runner announced it.
 type HostSpec struct {
 	// Life is the incarnation of the runner; each restart has a new one.
--- a/loss.go
+++ b/loss.go
@@ -51,13 +51,17 @@
 		return Invalid("loss", "names no incarnation or cause", "check the agent's version")
 	}
 	for i := range l.Young {
-		if r := &l.Young[i]; !r.isRun() || r.Age < 0 {
-			return Invalid("loss", "has a run without task or number, or a negative age", "check the agent's version")
+		r := &l.Young[i]
+		if err := r.check("loss"); err != nil {
+			return err
+		}
+		if r.Age < 0 {
+			return Invalid("loss", "has a run with a negative age", "check the agent's version")
 		}
 	}
-	for _, r := range l.Unanswered {
-		if !r.isRun() {
-			return Invalid("loss", "has a run without task or number", "check the agent's version")
+	for i := range l.Unanswered {
+		if err := l.Unanswered[i].check("loss"); err != nil {
+			return err
 		}
 	}
 	return nil
