--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -60,6 +60,14 @@
 // all returns the number of crashes.
 func (r *Record) all() int { return r.Crashes + r.Older }
 
+// name counts a crash that the task may have caused, with the number of flows that may have.
+func (r *Record) name(flows int) {
+	r.Named++
+	if flows == 1 {
+		r.Blamed++
+	}
+}
+
 // Trial returns how long a run of the task has to work to prove to be harmless: longer
 // than its last one lived until the crash.
 func (r *Record) Trial() cowslipbend.Span {
@@ -107,11 +115,8 @@
 		switch {
 		case causes[i]:
 			record.Crashes++
-			record.Named++
 			record.Suspect = true
-			if len(flows) == 1 {
-				record.Blamed++
-			}
+			record.name(len(flows))
 		case expected:
 			continue
 		default:
@@ -141,10 +146,7 @@
 			record.Suspect = record.Older >= suspectOlder
 			continue
 		}
-		record.Named++
-		if len(flows) == 1 {
-			record.Blamed++
-		}
+		record.name(len(flows))
 	}
 	return len(flows) > 0
 }
