--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -112,8 +112,9 @@
 }
 
 // VerifiedHTTP1 is like PooledHTTP1 with at most conns connections to each peer, and has the
-// function verify each new connection before a request is sent on it. If the function says that the connection cannot be used after that,
-// the request is sent on another one. Its error is that of a connection that could not be made.
+// function verify each new connection before a request is sent on it. If the function says that
+// the connection cannot be used after that, the request is sent on another one. Its error is that
+// of a connection that could not be made.
 func VerifiedHTTP1(conns int, verify func(net.Conn) (usable bool, err error)) *http.Client {
 	dialVerified := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
