supervisor: one branch refuses starts, one call asks an incarnation, one test tells of recent contact

Draining and silent runners had a branch each with the same body, three places wrote the renewal without effect with its zeros, and start repeated the test of confirmContact. No change in behaviour.

--- a/supervisor/fence.go
+++ b/supervisor/fence.go
@@ -1,6 +1,8 @@
 package supervisor
 
 import (
+	"context"
+
 	"cowslipbend.dev"
 )
 
@@ -21,6 +23,12 @@
 	return s.host != nil && s.epoch > 0 && s.processEpoch == s.epoch && s.fence == s.token()
 }
 
+// ask makes a renewal that changes no lease and drops no end. An incarnation that answers it
+// refuses calls with a lower fence.
+func (s *Supervisor) ask(ctx context.Context, life cowslipbend.Incarnation, token cowslipbend.Fence) (cowslipbend.RunList, error) {
+	return s.runner.RenewLeases(ctx, life, 0, 0, 0, token)
+}
+
 // applyProcess applies the number of this process in a reply to a report of the epoch, and
 // reports whether it is new.
 func (s *Supervisor) applyProcess(reply *cowslipbend.ReportReply) bool {
--- a/supervisor/identify.go
+++ b/supervisor/identify.go
@@ -47,7 +47,7 @@
 			}
 			continue
 		}
-		list, err := s.runner.RenewLeases(ctx, c.beat.Host.Life, 0, 0, 0, token)
+		list, err := s.ask(ctx, c.beat.Host.Life, token)
 		if !s.decideCandidate(c.beat.Host.Life, list.Life, err) {
 			s.sleep(ctx, s.candidateTrigger, renewalBackoff)
 		}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -98,13 +98,15 @@
 		s.stopRuns(o, life)
 		return results
 	}
-	if draining {
-		results := rejectAll(&cowslipbend.HostOrders{Starts: o.Starts}, cowslipbend.Refused, "draining")
-		s.stopRuns(o, life)
-		return results
+	refusal := ""
+	switch {
+	case draining:
+		refusal = "draining"
+	case len(o.Starts) > 0 && !s.confirmContact(ctx):
+		refusal = "runner does not answer"
 	}
-	if len(o.Starts) > 0 && !s.confirmContact(ctx) {
-		results := rejectAll(&cowslipbend.HostOrders{Starts: o.Starts}, cowslipbend.Refused, "runner does not answer")
+	if refusal != "" {
+		results := rejectAll(&cowslipbend.HostOrders{Starts: o.Starts}, cowslipbend.Refused, refusal)
 		s.stopRuns(o, life)
 		return results
 	}
@@ -139,9 +141,14 @@
 // that has reached it, and one that it would not answer is not sent.
 func (s *Supervisor) confirmContact(ctx context.Context) bool {
 	s.mu.Lock()
-	age := s.clock.Now().Sub(s.lastContact)
+	recent := s.hasRecentContact()
 	s.mu.Unlock()
-	return age <= maxContactAge || s.renewLease(ctx, false) == nil
+	return recent || s.renewLease(ctx, false) == nil
+}
+
+// hasRecentContact reports whether the runner has just answered. The caller holds the lock.
+func (s *Supervisor) hasRecentContact() bool {
+	return s.clock.Now().Sub(s.lastContact) <= maxContactAge
 }
 
 // resolveStarts returns the results of starts that were ordered before and not
@@ -190,7 +197,7 @@
 	}
 	s.addRun(order)
 	r := s.runs[order.RunRef]
-	r.startSentAt, r.reached = now, now.Sub(s.lastContact) <= maxContactAge
+	r.startSentAt, r.reached = now, s.hasRecentContact()
 	s.mu.Unlock()
 	result := &cowslipbend.RunResult{RunRef: order.RunRef}
 	if until == 0 && refusal == "" {
--- a/supervisor/probe.go
+++ b/supervisor/probe.go
@@ -67,7 +67,7 @@
 func (s *Supervisor) probe(ctx context.Context, life cowslipbend.Incarnation, token cowslipbend.Fence, timeout cowslipbend.Span) bool {
 	probeCtx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
-	list, err := s.runner.RenewLeases(probeCtx, life, 0, 0, 0, token)
+	list, err := s.ask(probeCtx, life, token)
 	switch cowslipbend.KindOf(err) {
 	case "", cowslipbend.KindConflict, cowslipbend.KindLimited:
 		return true
@@ -90,7 +90,7 @@
 	s.lifeNumber++
 	token := s.token()
 	s.mu.Unlock()
-	if _, err := s.runner.RenewLeases(ctx, life, 0, 0, 0, token); err != nil {
+	if _, err := s.ask(ctx, life, token); err != nil {
 		s.log.Info("runner that has started again did not answer", "life", life, "error", err)
 		return false
 	}
