--- a/supervisor/giveup_test.go
+++ b/supervisor/giveup_test.go
@@ -51,7 +51,7 @@
 	f := newFixture(t)
 	f.connectRunner()
 	var ordered cowslipbend.HostReport
-	f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "") })
+	f.failRenewals(cowslipbend.KindUnknown)
 	f.waitFor(func() bool {
 		last := f.owner.lastReport()
 		if last.Host != nil {
--- a/supervisor/loss_test.go
+++ b/supervisor/loss_test.go
@@ -38,18 +38,15 @@
 		f.startRun(2)
 		f.clock.Advance(300)
 		f.startRun(3)
-		f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "") })
+		f.failRenewals(cowslipbend.KindMissing)
 		assertLoss(t, f, cowslipbend.LossCrashed, 3, 2)
 	})
 	t.Run("a start without an answer is named too", func(t *testing.T) {
 		f := newFixture(t)
 		f.connectRunner()
-		f.runner.withLock(func(r *runner) {
-			r.startErr = cowslipbend.Fail(cowslipbend.KindUnknown, "reset", "")
-			r.stopErr = r.startErr
-		})
+		f.leaveStartsUnanswered()
 		f.startRun(1)
-		f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "") })
+		f.failRenewals(cowslipbend.KindMissing)
 		assertLoss(t, f, cowslipbend.LossCrashed, 1)
 	})
 	t.Run("a start into a silent runner is refused, and not named", func(t *testing.T) {
@@ -75,12 +72,9 @@
 		f := newFixture(t)
 		f.connectRunner()
 		f.startRun(1)
-		f.runner.withLock(func(r *runner) {
-			r.startErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "")
-			r.stopErr = r.startErr
-		})
+		f.leaveStartsUnanswered()
 		f.startRun(2)
-		f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "") })
+		f.failRenewals(cowslipbend.KindMissing)
 		f.waitFor(func() bool { return f.owner.lastReport().Loss != nil })
 		assert.DeepEqual(t, f.owner.lastReport().Loss.Unanswered, []cowslipbend.RunRef{newStart(2).RunRef})
 	})
@@ -109,7 +103,7 @@
 			o.Starts = append(o.Starts, newStart(i+1))
 		}
 		f.sendOrders(o)
-		f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "") })
+		f.failRenewals(cowslipbend.KindMissing)
 		f.waitFor(func() bool { return f.owner.lastReport().Loss != nil })
 		young := f.owner.lastReport().Loss.Young
 		assert.Equal(t, young[len(young)-1].RunRef, newStart(0).RunRef)
@@ -133,14 +127,14 @@
 		f.connectRunner()
 		f.startRun(1)
 		f.supervisor.Leave("r")
-		f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "") })
+		f.failRenewals(cowslipbend.KindMissing)
 		assertLoss(t, f, cowslipbend.LossLeft, 1)
 	})
 	t.Run("a runner that is only silent has not crashed", func(t *testing.T) {
 		f := newFixture(t)
 		f.connectRunner()
 		f.startRun(1)
-		f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "") })
+		f.failRenewals(cowslipbend.KindUnknown)
 		f.waitFor(func() bool { return f.owner.lastReport().Loss != nil })
 		assert.Equal(t, f.owner.lastReport().Loss.Cause, cowslipbend.LossLapsed)
 	})
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -13,14 +13,14 @@
 const restarted cowslipbend.Incarnation = "r@7"
 
 // waitForRestarted sends heartbeats of the incarnation until it is reported.
-func (f *fixture) waitForRestarted() {
+func (f *fixture) waitForRestarted(life cowslipbend.Incarnation) {
 	f.t.Helper()
 	sequence := int64(0)
 	f.waitFor(func() bool {
 		sequence++
-		f.beat(restarted, sequence)
+		f.beat(life, sequence)
 		host := f.owner.lastReport().Host
-		return host != nil && host.Life == restarted
+		return host != nil && host.Life == life
 	})
 }
 
@@ -46,7 +46,7 @@
 	deadline := f.clock.Now().Add(cowslipbend.Second)
 	f.waitFor(func() bool { return f.clock.Now() > deadline })
 	assert.Equal(t, endsLeft(), 1)
-	f.waitForRestarted()
+	f.waitForRestarted(restarted)
 	assert.DeepEqual(t, f.owner.lastReport().Ends, []cowslipbend.RunEnd{end(1)})
 }
 
@@ -60,21 +60,14 @@
 func TestStartThatReachesRestartedRunner(t *testing.T) {
 	f := newFixture(t)
 	f.connectRunner()
-	unknown := cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "")
-	f.runner.withLock(func(r *runner) { r.startErr, r.stopErr = unknown, unknown })
+	f.leaveStartsUnanswered()
 	s := newStart(0)
 	f.sendOrders(&cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{s}})
 	var late cowslipbend.Fence
 	f.runner.withLock(func(r *runner) { late = r.startFences[0] })
 	for _, next := range []cowslipbend.Incarnation{"r@6", restarted} {
 		f.runner.withLock(func(r *runner) { r.restart(next) })
-		sequence := int64(0)
-		f.waitFor(func() bool {
-			sequence++
-			f.beat(next, sequence)
-			last := f.owner.lastReport()
-			return last.Host != nil && last.Host.Life == next
-		})
+		f.waitForRestarted(next)
 		f.runner.withLock(func(r *runner) {
 			assert.Assert(t, r.fence > late, "an incarnation is reported once it refuses the start: %d and %d", r.fence, late)
 		})
@@ -89,8 +82,8 @@
 	f.connectRunner()
 	startedAgainAt := f.clock.Now()
 	f.runner.withLock(func(r *runner) { r.restart(restarted) })
-	f.waitForRestarted()
-	f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "") })
+	f.waitForRestarted(restarted)
+	f.failRenewals(cowslipbend.KindUnknown)
 	f.waitFor(func() bool { return f.owner.lastReport().LostLife == restarted })
 	assert.Assert(t, f.clock.Now() > startedAgainAt.Add(maxLease), "%s after its start", f.clock.Now().Sub(startedAgainAt))
 }
@@ -124,7 +117,7 @@
 		r.running = []cowslipbend.RunState{{RunRef: running}}
 		r.ends = []cowslipbend.RunEnd{{RunRef: ended, Number: 1, Kind: cowslipbend.EndDone}}
 	})
-	f.waitForRestarted()
+	f.waitForRestarted(restarted)
 	o := &cowslipbend.HostOrders{Epoch: epoch, Life: life, Starts: []cowslipbend.RunStart{{RunRef: running}}, Stops: []cowslipbend.RunRef{running, ended, absent}}
 	want := []cowslipbend.RunResult{{RunRef: absent, Kind: cowslipbend.Absent, Reason: "runner has started again"}}
 	assert.DeepEqual(t, f.sendOrders(o).Results, want)
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -298,6 +298,19 @@
 	f.t.Fatal("condition did not hold within 40 s of the test's clock")
 }
 
+// failRenewals has renewals fail from now on.
+func (f *fixture) failRenewals(kind cowslipbend.Kind) {
+	f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(kind, "no answer", "") })
+}
+
+// leaveStartsUnanswered has starts, and the stops after them, stay without an answer from now on.
+func (f *fixture) leaveStartsUnanswered() {
+	f.runner.withLock(func(r *runner) {
+		r.startErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "")
+		r.stopErr = r.startErr
+	})
+}
+
 // waitForFailure waits until a renewal has failed, so that earlier ones have been recorded.
 func (f *fixture) waitForFailure() {
 	f.t.Helper()
@@ -525,13 +538,13 @@
 	t.Run("a runner without a listener at its address is lost", func(t *testing.T) {
 		f := newFixture(t)
 		f.connectRunner()
-		f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindMissing, "refused", "") })
+		f.failRenewals(cowslipbend.KindMissing)
 		f.waitFor(func() bool { return f.owner.lastReport().LostLife == life })
 	})
 	t.Run("a runner that does not answer is lost when its lease has lapsed, not before", func(t *testing.T) {
 		f := newFixture(t)
 		f.connectRunner()
-		f.runner.withLock(func(r *runner) { r.renewErr = cowslipbend.Fail(cowslipbend.KindUnknown, "no answer", "") })
+		f.failRenewals(cowslipbend.KindUnknown)
 		f.waitFor(func() bool { return f.owner.lastReport().LostLife == life })
 		f.runner.withLock(func(r *runner) {
 			assert.Assert(t, f.clock.Now() > r.leaseEnd, "%d before %d", f.clock.Now(), r.leaseEnd)
