--- a/stand/field/field_test.go
+++ b/stand/field/field_test.go
@@ -42,6 +42,7 @@
 	port    int
 	store   *metastore.Store
 	pool    *hostrunner.Pool
+	bounds  platform.Bounds
 	runners []*hostrunner.Runner
 	entries []*entry.Entry
 	fronts  []string
@@ -69,42 +70,67 @@
 	})
 }
 
+// newStoreOnly starts a testbed without processes, whose store has the operator's
+// configuration and the other rows.
+func newStoreOnly(t *testing.T, bounds platform.Bounds, rows ...cowslipbend.Put) *testbed {
+	t.Helper()
+	f := &testbed{t: t, port: freePort(t), store: metastore.New(), pool: hostrunner.NewPool(), bounds: bounds}
+	_, err := f.store.Table().Commit(t.Context(), cowslipbend.Txn{Puts: append(rows, cowslipbend.Put{Key: "op/config", Value: []byte(rulesJSON)})})
+	assert.NilError(t, err)
+	serve(t, f.storeAddr(), f.store.Handler())
+	return f
+}
+
+func (f *testbed) storeAddr() string { return fmt.Sprintf("127.0.3.1:%d", f.port) }
+
+// runnerAddr and controlAddr return the addresses of a runner and of its agent for heartbeats.
+func (f *testbed) runnerAddr(i int) string  { return fmt.Sprintf("127.0.2.%d:%d", i+1, f.port+3) }
+func (f *testbed) controlAddr(i int) string { return fmt.Sprintf("127.0.2.%d:%d", i+1, f.port+4) }
+
+// addEntry adds the next entry, which does not run yet.
+func (f *testbed) addEntry() *entry.Entry {
+	f.t.Helper()
+	i := len(f.entries)
+	ip := fmt.Sprintf("127.0.1.%d", i+1)
+	f.fronts = append(f.fronts, fmt.Sprintf("%s:%d", ip, f.port+1))
+	e, err := entry.New(platform.Settings{
+		Node: fmt.Sprintf("e%d", i), Domain: "z0", IP: ip, Port: f.port, Front: f.fronts[i], Ready: fmt.Sprintf("%s:%d", ip, f.port+2), Store: f.storeAddr(), Bounds: f.bounds,
+	}, timer.Host{}, hclog.NewNullLogger())
+	assert.NilError(f.t, err)
+	f.entries = append(f.entries, e)
+	return e
+}
+
+// newAgent returns an agent that does not run yet.
+func (f *testbed) newAgent(i int) *agent.Agent {
+	f.t.Helper()
+	a, err := agent.New(platform.Settings{
+		Node: fmt.Sprintf("a%d", i), IP: fmt.Sprintf("127.0.2.%d", i+1), Port: f.port, Control: f.controlAddr(i), Runner: f.runnerAddr(i), Store: f.storeAddr(),
+		Seeds: []string{"127.0.1.1"}, Bounds: f.bounds,
+	}, timer.Host{}, hclog.NewNullLogger())
+	assert.NilError(f.t, err)
+	return a
+}
+
 // newTestbed starts a testbed whose store has the operator's configuration and the
 // other rows.
 func newTestbed(t *testing.T, rows ...cowslipbend.Put) *testbed {
 	t.Helper()
-	f := &testbed{t: t, port: freePort(t), store: metastore.New(), pool: hostrunner.NewPool()}
-	_, err := f.store.Table().Commit(t.Context(), cowslipbend.Txn{Puts: append(rows, cowslipbend.Put{Key: "op/config", Value: []byte(rulesJSON)})})
-	assert.NilError(t, err)
+	f := newStoreOnly(t, platform.Bounds{MaxLease: 6 * cowslipbend.Second, JobRetention: cowslipbend.Minute, Evacuation: 5 * cowslipbend.Second}, rows...)
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
-	storeAddr := fmt.Sprintf("127.0.3.1:%d", f.port)
-	serve(t, storeAddr, f.store.Handler())
-	bounds := platform.Bounds{MaxLease: 6 * cowslipbend.Second, JobRetention: cowslipbend.Minute, Evacuation: 5 * cowslipbend.Second}
-	for i := range 2 {
-		ip := fmt.Sprintf("127.0.1.%d", i+1)
-		f.fronts = append(f.fronts, fmt.Sprintf("%s:%d", ip, f.port+1))
-		e, err := entry.New(platform.Settings{
-			Node: fmt.Sprintf("e%d", i), Domain: "z0", IP: ip, Port: f.port, Front: f.fronts[i], Ready: fmt.Sprintf("%s:%d", ip, f.port+2), Store: storeAddr, Bounds: bounds,
-		}, timer.Host{}, hclog.NewNullLogger())
-		assert.NilError(t, err)
-		f.entries = append(f.entries, e)
+	for range 2 {
+		e := f.addEntry()
 		g.Go(func() error { return e.Run(ctx) })
 	}
 	for i := range 3 {
-		ip := fmt.Sprintf("127.0.2.%d", i+1)
-		app, control := fmt.Sprintf("%s:%d", ip, f.port+3), fmt.Sprintf("%s:%d", ip, f.port+4)
 		runner := hostrunner.New(f.pool, fmt.Sprintf("i-%d", i), taskDuration)
 		runner.SetDomain(fmt.Sprint("z", i))
 		f.runners = append(f.runners, runner)
-		serve(t, app, runner.Handler())
-		a, err := agent.New(platform.Settings{
-			Node: fmt.Sprintf("a%d", i), IP: ip, Port: f.port, Control: control, Runner: app, Store: storeAddr,
-			Seeds: []string{"127.0.1.1"}, Bounds: bounds,
-		}, timer.Host{}, hclog.NewNullLogger())
-		assert.NilError(t, err)
+		serve(t, f.runnerAddr(i), runner.Handler())
+		a := f.newAgent(i)
 		g.Go(func() error { return a.Run(ctx) })
-		g.Go(func() error { return sendHeartbeats(ctx, runner, control) })
+		g.Go(func() error { return sendHeartbeats(ctx, runner, f.controlAddr(i)) })
 	}
 	t.Cleanup(func() {
 		cancel()
--- a/stand/field/restart_test.go
+++ b/stand/field/restart_test.go
@@ -13,17 +13,13 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
 
 	"cowslipbend.dev"
-	agent "cowslipbend.dev/agent/joiner"
-	entry "cowslipbend.dev/entry/joiner"
 	"cowslipbend.dev/platform"
 	"cowslipbend.dev/stand/hostrunner"
-	"cowslipbend.dev/stand/metastore"
 	"cowslipbend.dev/timer"
 )
 
@@ -235,35 +231,22 @@
 // next process.
 func newMachine(t *testing.T) (f *testbed, m *machine, restartAgent func()) {
 	t.Helper()
-	f = &testbed{t: t, port: freePort(t), store: metastore.New(), pool: hostrunner.NewPool()}
-	_, err := f.store.Table().Commit(t.Context(), cowslipbend.Txn{Puts: []cowslipbend.Put{{Key: "op/config", Value: []byte(rulesJSON)}}})
-	assert.NilError(t, err)
-	storeAddr := fmt.Sprintf("127.0.3.1:%d", f.port)
-	serve(t, storeAddr, f.store.Handler())
-	bounds := platform.Bounds{MaxLease: maxLease, JobRetention: cowslipbend.Minute}
-	f.fronts = []string{fmt.Sprintf("127.0.1.1:%d", f.port+1)}
-	e, err := entry.New(platform.Settings{
-		Node: "e0", Domain: "z0", IP: "127.0.1.1", Port: f.port, Front: f.fronts[0], Ready: fmt.Sprintf("127.0.1.1:%d", f.port+2), Store: storeAddr, Bounds: bounds,
-	}, timer.Host{}, hclog.NewNullLogger())
-	assert.NilError(t, err)
-	control := fmt.Sprintf("127.0.2.1:%d", f.port+4)
-	m = &machine{t: t, pool: f.pool, address: fmt.Sprintf("127.0.2.1:%d", f.port+3), leave: map[string]func(*runnerCall) bool{}, left: map[string]*runnerCall{}}
+	f = newStoreOnly(t, platform.Bounds{MaxLease: maxLease, JobRetention: cowslipbend.Minute})
+	e := f.addEntry()
+	m = &machine{t: t, pool: f.pool, address: f.runnerAddr(0), leave: map[string]func(*runnerCall) bool{}, left: map[string]*runnerCall{}}
 	m.boot()
 	ctx, cancel := context.WithCancel(context.Background())
 	var all, agents errgroup.Group
 	stopAgent := func() {}
 	startAgent := func() {
-		a, err := agent.New(platform.Settings{
-			Node: "a0", IP: "127.0.2.1", Port: f.port, Control: control, Runner: m.address, Store: storeAddr, Seeds: []string{"127.0.1.1"}, Bounds: bounds,
-		}, timer.Host{}, hclog.NewNullLogger())
-		assert.NilError(t, err)
+		a := f.newAgent(0)
 		agentCtx, stop := context.WithCancel(ctx)
 		stopAgent = stop
 		agents.Go(func() error { return a.Run(agentCtx) })
 	}
 	startAgent()
 	all.Go(func() error { return e.Run(ctx) })
-	all.Go(func() error { return m.beat(ctx, control) })
+	all.Go(func() error { return m.beat(ctx, f.controlAddr(0)) })
 	t.Cleanup(func() {
 		cancel()
 		assert.NilError(t, agents.Wait())
