--- /dev/null
+++ b/stand/launcher/doc.go
@@ -0,0 +1,3 @@
+// Package launcher starts the real programs as processes with settings of the platform.
+// Packages soaker and crowder use it.
+package launcher
--- a/stand/soaker/fleet.go
+++ b/stand/soaker/fleet.go
@@ -17,6 +17,7 @@
 	"cowslipbend.dev"
 	"cowslipbend.dev/internal/server"
 	"cowslipbend.dev/stand/hostrunner"
+	"cowslipbend.dev/stand/launcher"
 	"cowslipbend.dev/stand/metastore"
 )
 
@@ -96,7 +97,7 @@
 // it.
 type member struct {
 	mu         sync.Mutex
-	proc       *process
+	proc       *launcher.Process
 	storeProxy *proxy
 	// inbound is the proxy before its internal address, at the advertised one.
 	inbound *proxy
@@ -195,11 +196,10 @@
 	for i := range min(f.opts.Entries, 3) {
 		seeds = append(seeds, f.address(f.ip(netEntryProxies, i), portControl))
 	}
-	shared := []string{
-		"node=" + name, "ip=" + ip, "zone=" + domain, "internal_ports=" + strconv.Itoa(f.opts.BasePort) + "," + strconv.Itoa(f.opts.BasePort),
-		"seeds=" + strings.Join(seeds, ","), "platform.address=" + storeAddr, "limits.memory_mb=152", "limits.cpu_share=0.4", "limits.link_mbps=1000",
-		"bounds.hold_max_ms=" + strconv.FormatInt(int64(f.maxLease()), 10), "bounds.stop_grace_ms=400", "bounds.status_s=120", "bounds.grace_s=6",
+	s := launcher.Settings{
+		Node: name, IP: ip, Domain: domain, Port: f.opts.BasePort, Seeds: seeds, Store: storeAddr, MemoryMB: 152, MaxLease: f.maxLease(),
 	}
+	shared := s.Lines()
 	if !f.opts.Partitions && !f.opts.Restarts {
 		shared = append(shared, "bounds.evacuate_ms="+strconv.FormatInt(int64(evacuationBound), 10))
 	}
@@ -219,11 +219,11 @@
 		store.close()
 		return nil, err
 	}
-	m.proc, err = newProcess(name, filepath.Join(f.opts.Bin, bin), f.opts.Dir, advertised, append(f.settings(name, ip, domainOf(n), storeAddr), extra...))
+	m.proc, err = launcher.New(name, filepath.Join(f.opts.Bin, bin), f.opts.Dir, advertised, append(f.settings(name, ip, domainOf(n), storeAddr), extra...))
 	if err != nil {
 		return m, err
 	}
-	return m, m.proc.start()
+	return m, m.proc.Start()
 }
 
 func (f *fleet) startEntry(n int) error {
@@ -267,7 +267,7 @@
 // must have been cancelled.
 func (f *fleet) close() error {
 	for _, m := range append(append([]*member(nil), f.entries...), f.agents...) {
-		m.proc.signalAndWait(syscall.SIGKILL)
+		m.proc.SignalAndWait(syscall.SIGKILL)
 		m.storeProxy.close()
 		m.inbound.close()
 		if m.host != nil {
@@ -294,21 +294,21 @@
 		return ""
 	}
 	if kind >= firstHoldKind {
-		return fmt.Sprintf("%s %s %s", role, m.proc.name, f.startHold(ctx, m, kind, p))
+		return fmt.Sprintf("%s %s %s", role, m.proc.Name, f.startHold(ctx, m, kind, p))
 	}
-	return fmt.Sprintf("%s %s %s for %s", role, m.proc.name, f.startFault(ctx, m, kind, span), span)
+	return fmt.Sprintf("%s %s %s for %s", role, m.proc.Name, f.startFault(ctx, m, kind, span), span)
 }
 
 // restart ends a process with the signal and starts it again after the span.
 func (f *fleet) restart(ctx context.Context, m *member, s syscall.Signal, span time.Duration) {
-	m.proc.signalAndWait(s)
+	m.proc.SignalAndWait(s)
 	sleep(ctx, span)
 	f.startAgain(m)
 }
 
 func (f *fleet) startAgain(m *member) {
-	if err := m.proc.start(); err != nil {
-		f.opts.Log.Error("process failed to restart; it stays down for the rest of the run", "process", m.proc.name, "error", err)
+	if err := m.proc.Start(); err != nil {
+		f.opts.Log.Error("process failed to restart; it stays down for the rest of the run", "process", m.proc.Name, "error", err)
 	}
 }
 
@@ -343,9 +343,9 @@
 		name, run = "terminated", func() { f.restart(ctx, m, syscall.SIGTERM, span) }
 	case 3, 4:
 		name, run = "paused", func() {
-			m.proc.setPaused(true)
+			m.proc.SetPaused(true)
 			sleep(ctx, span)
-			m.proc.setPaused(false)
+			m.proc.SetPaused(false)
 		}
 	case 5:
 		name, run = "cut off from the store", withProxyMode(m.storeProxy, modeReset)
--- a/stand/soaker/partition.go
+++ b/stand/soaker/partition.go
@@ -57,7 +57,7 @@
 	releases := []func(){m.inbound.hold("", p.ways, p.delivery), m.host.disturb(maxSpread)}
 	for _, other := range append(append([]*member(nil), f.entries...), f.agents...) {
 		if other != m {
-			releases = append(releases, other.inbound.hold(m.proc.advertised, p.ways.reversed(), p.delivery))
+			releases = append(releases, other.inbound.hold(m.proc.Advertised, p.ways.reversed(), p.delivery))
 		}
 	}
 	return all(releases)
@@ -106,7 +106,7 @@
 	var head conductor.Head
 	if row, err := f.store.Table().Get(ctx, conductor.OwnerKey); err == nil && json.Unmarshal(row.Value, &head) == nil {
 		for _, m := range f.entries {
-			if head.URL == "http://"+m.proc.advertised {
+			if head.URL == "http://"+m.proc.Advertised {
 				return m
 			}
 		}
@@ -124,12 +124,12 @@
 	span       time.Duration
 }
 
-func kill(m *member) { m.proc.signalAndWait(syscall.SIGKILL) }
+func kill(m *member) { m.proc.SignalAndWait(syscall.SIGKILL) }
 
 // randomCompanion returns a fault beside a partition of the agents.
 func (f *fleet) randomCompanion(ctx context.Context, rnd *rand.Rand, p partition, isolated []*member) companion {
-	pause := func(m *member) { m.proc.setPaused(true) }
-	resume := func(m *member) { m.proc.setPaused(false) }
+	pause := func(m *member) { m.proc.SetPaused(true) }
+	resume := func(m *member) { m.proc.SetPaused(false) }
 	agent, leader := isolated[rnd.IntN(len(isolated))], f.leader(ctx)
 	short := time.Duration(200+rnd.IntN(800)) * time.Millisecond
 	switch rnd.IntN(8) {
@@ -153,7 +153,7 @@
 func (f *fleet) startCompanion(ctx context.Context, c companion) {
 	for _, m := range c.victims {
 		m.mu.Lock()
-		f.opts.Log.Info("fault injected", "seed", f.opts.Seed, "what", fmt.Sprintf("%s %s for %s", m.proc.name, c.name, c.span))
+		f.opts.Log.Info("fault injected", "seed", f.opts.Seed, "what", fmt.Sprintf("%s %s for %s", m.proc.Name, c.name, c.span))
 		f.runFault(m, func() {
 			c.begin(m)
 			sleep(ctx, c.span)
@@ -194,7 +194,7 @@
 		var heals []func()
 		for _, m := range isolated {
 			heals = append(heals, f.isolate(m, p))
-			f.opts.Log.Info("fault injected", "seed", f.opts.Seed, "what", fmt.Sprintf("%s isolated %s", m.proc.name, p))
+			f.opts.Log.Info("fault injected", "seed", f.opts.Seed, "what", fmt.Sprintf("%s isolated %s", m.proc.Name, p))
 		}
 		if !before {
 			sleep(ctx, offset)
@@ -219,7 +219,7 @@
 	for _, agent := range agents {
 		releases = append(releases, agent.host.disturb(maxSpread))
 		for _, entry := range entries {
-			releases = append(releases, entry.inbound.hold(agent.proc.advertised, towardsServer, d))
+			releases = append(releases, entry.inbound.hold(agent.proc.Advertised, towardsServer, d))
 		}
 	}
 	return all(releases)
@@ -288,9 +288,9 @@
 	owner := f.leader(ctx)
 	owner.mu.Lock()
 	defer owner.mu.Unlock()
-	f.opts.Log.Info("fault injected", "seed", f.opts.Seed, "what", what, "owner", owner.proc.name)
+	f.opts.Log.Info("fault injected", "seed", f.opts.Seed, "what", what, "owner", owner.proc.Name)
 	finish := prepare(owner)
-	owner.proc.signalAndWait(syscall.SIGKILL)
+	owner.proc.SignalAndWait(syscall.SIGKILL)
 	for killedAt := time.Now(); f.leader(ctx) == owner && time.Since(killedAt) < maxTakeover && ctx.Err() == nil; {
 		sleep(ctx, 5*time.Millisecond)
 	}
--- a/stand/soaker/restart.go
+++ b/stand/soaker/restart.go
@@ -80,7 +80,7 @@
 
 func (p *restartPlan) names() (names []string) {
 	for _, m := range p.hosts {
-		names = append(names, m.proc.name)
+		names = append(names, m.proc.Name)
 	}
 	return names
 }
@@ -95,7 +95,7 @@
 		if p.silent[n] {
 			m.host.restartSilently(ctx, p.down[n])
 		} else if err := m.host.restart(ctx, p.down[n]); err != nil {
-			f.opts.Log.Error("runner failed to restart; it stays down for the rest of the run", "process", m.proc.name, "error", err)
+			f.opts.Log.Error("runner failed to restart; it stays down for the rest of the run", "process", m.proc.Name, "error", err)
 		}
 	}
 }
@@ -135,9 +135,9 @@
 				sleep(ctx, cutTime)
 				heal()
 			case 1:
-				m.proc.setPaused(true)
+				m.proc.SetPaused(true)
 				sleep(ctx, cutTime)
-				m.proc.setPaused(false)
+				m.proc.SetPaused(false)
 			case 2:
 				f.restart(ctx, m, syscall.SIGKILL, cutTime)
 			case 3:
--- a/stand/soaker/soaker.go
+++ b/stand/soaker/soaker.go
@@ -218,7 +218,7 @@
 		l.addFault("%s was accepted and has not ended", o.id)
 	}
 	for _, m := range pollUntilAll(settleCtx, f.entries, func(m *member) bool { return c.servesAddedRoute(ctx, m.front) }) {
-		l.addFault("%s does not serve the route of the latest rules", m.proc.name)
+		l.addFault("%s does not serve the route of the latest rules", m.proc.Name)
 	}
 	for _, o := range watchLasting(ctx, f, lasting) {
 		l.addFault("%s was accepted, and its task that lasts has not run for %s", o.id, maxLastingIdle)
