stand/hostrunner: a fault names both runs, their incarnations and times, and late starts

A fault of the soak named two runners alone: "starts on i-2-0 while it runs on i-5-0".

Faults now name the number and the incarnation of each run, since when it runs by the clock of the logs, and how long after its arrival a late call began it. The pool tells the runs of incarnations with one name apart; it removed the first of that name before, whichever had ended. What counts as a fault is unchanged.

--- a/stand/hostrunner/hostrunner.go
+++ b/stand/hostrunner/hostrunner.go
@@ -64,9 +64,9 @@
 // of all tasks, and thereby violations that span runners.
 type Pool struct {
 	mu sync.Mutex
-	// running maps each running task to its runners. ackedDone holds when the agent
+	// running maps each running task to its runs. ackedDone holds when the agent
 	// acknowledged the end of a task as done.
-	running   map[string][]string
+	running   map[string][]*run
 	ackedDone map[string]cowslipbend.Time
 	// copySteps maps each job with a step that allows copies to that step. copies
 	// counts the second runs that were started beside the first.
@@ -93,7 +93,7 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		running: map[string][]string{}, ackedDone: map[string]cowslipbend.Time{}, done: map[string]bool{}, startedJobs: map[string]bool{}, copySteps: map[string]int{}, startsOn: map[string]int{}, startsOf: map[string]int{}, noStartsFrom: map[string]cowslipbend.Time{},
+		running: map[string][]*run{}, ackedDone: map[string]cowslipbend.Time{}, done: map[string]bool{}, startedJobs: map[string]bool{}, copySteps: map[string]int{}, startsOn: map[string]int{}, startsOf: map[string]int{}, noStartsFrom: map[string]cowslipbend.Time{},
 		crashes: map[string]int{}, lateStarts: map[string]int{},
 	}
 }
@@ -164,29 +164,29 @@
 	return slices.Sorted(maps.Keys(p.running))
 }
 
-// recordStart records the start of a task on a runner of a failure domain, and a
-// fault for each invariant that it violates. The request to start it arrived at the
-// time; what the runner delays after that is not the scheduler's fault.
-func (p *Pool) recordStart(task, runner, domain string, arrivedAt cowslipbend.Time, contact func() bool) {
+// recordStart records the start of a run in a failure domain, and a fault for each
+// invariant that it violates. The request to start it arrived at the time; what the
+// runner delays after that is not the scheduler's fault.
+func (p *Pool) recordStart(x *run, domain string, arrivedAt cowslipbend.Time, contact func() bool) {
 	if from, out := p.noStartsFrom[domain]; out && arrivedAt >= from {
-		p.faults = append(p.faults, fmt.Sprintf("%s starts on %s %s after starts in domain %s had to end", task, runner, arrivedAt.Sub(from), domain))
+		p.addFault("%s %s after starts in domain %s had to end", x.startText(), arrivedAt.Sub(from), domain)
 	}
-	p.checkCrashes(task)
+	p.checkCrashes(x)
 	p.starts++
-	p.startsOn[runner]++
-	p.startsOf[task]++
-	job, round, step, ok := splitTaskName(task)
-	if runningOn := p.running[task]; len(runningOn) > 0 {
-		if p.allowsCopies(task) && len(runningOn) == 1 && runningOn[0] != runner {
+	p.startsOn[x.runner]++
+	p.startsOf[x.task]++
+	job, round, step, ok := splitTaskName(x.task)
+	if others := p.running[x.task]; len(others) > 0 {
+		if p.allowsCopies(x.task) && len(others) == 1 && others[0].runner != x.runner {
 			p.copies++
 		} else {
-			p.faults = append(p.faults, fmt.Sprintf("%s starts on %s while it runs on %s", task, runner, strings.Join(runningOn, " and ")))
+			p.addFault("%s while %s", x.startText(), runningText(others))
 		}
 	}
-	if ackedAt, acked := p.ackedDone[task]; acked && p.mustKnowEnd(task, ackedAt, contact) {
-		p.faults = append(p.faults, fmt.Sprintf("%s starts on %s %s after its end as done was acknowledged", task, runner, timer.Host{}.Now().Sub(ackedAt)))
+	if ackedAt, acked := p.ackedDone[x.task]; acked && p.mustKnowEnd(x.task, ackedAt, contact) {
+		p.addFault("%s %s after its end as done was acknowledged", x.startText(), timer.Host{}.Now().Sub(ackedAt))
 	}
-	p.running[task] = append(p.running[task], runner)
+	p.running[x.task] = append(p.running[x.task], x)
 	p.startedJobs[job] = true
 	for i := range step {
 		if !ok || i >= len(p.stepTasks) {
@@ -194,12 +194,17 @@
 		}
 		for n := range p.stepTasks[i] {
 			if predecessor := fmt.Sprintf("%s.%s.%d.%d", job, round, i, n); !p.done[predecessor] {
-				p.faults = append(p.faults, task+" starts before "+predecessor+" is done")
+				p.addFault("%s before %s is done", x.startText(), predecessor)
 			}
 		}
 	}
 }
 
+// addFault records a fault. The caller holds the lock.
+func (p *Pool) addFault(format string, args ...any) {
+	p.faults = append(p.faults, fmt.Sprintf(format, args...))
+}
+
 // maxEndNews is how long a copy may start after the end of the other run was acknowledged.
 const maxEndNews = cowslipbend.Second
 
@@ -222,7 +227,7 @@
 		p.ackedDone[e.run.task] = timer.Host{}.Now()
 	}
 	if p.startsOf[e.run.task] > e.starts && !p.allowsCopies(e.run.task) {
-		p.faults = append(p.faults, e.run.task+" was started again after its end as done, which is acknowledged now")
+		p.addFault("%s was started again after the end of %s as done, which is acknowledged now", e.run.task, &e.run)
 	}
 }
 
@@ -234,12 +239,12 @@
 }
 
 // checkCrashes records a fault if a task that crashes runners is started too often.
-func (p *Pool) checkCrashes(task string) {
-	if p.crashes[task] < maxTaskCrashes {
+func (p *Pool) checkCrashes(x *run) {
+	if p.crashes[x.task] < maxTaskCrashes {
 		return
 	}
-	if p.lateStarts[task]++; p.lateStarts[task] == maxLateStarts {
-		p.faults = append(p.faults, fmt.Sprintf("%s starts for the %dth time after it has crashed %d runners", task, maxLateStarts, maxTaskCrashes))
+	if p.lateStarts[x.task]++; p.lateStarts[x.task] == maxLateStarts {
+		p.addFault("%s for the %dth time after its task has crashed %d runners", x.startText(), maxLateStarts, maxTaskCrashes)
 	}
 }
 
@@ -278,13 +283,49 @@
 type run struct {
 	task   string
 	number int64
-	endsAt cowslipbend.Time
+	// runner and bornAt are the incarnation that carries it out, startedAt is the wall time. late
+	// is how long after its arrival the start was carried out.
+	runner    string
+	bornAt    int64
+	startedAt time.Time
+	late      cowslipbend.Span
+	endsAt    cowslipbend.Time
 	// duration is the run time at full speed.
 	duration cowslipbend.Span
 	// ending is how it ends by itself.
 	ending string
 }
 
+// String returns the name of the run, with its incarnation as the logs of the programs have it.
+func (x *run) String() string {
+	return fmt.Sprintf("run %d on %s@%d", x.number, x.runner, x.bornAt)
+}
+
+// startText tells of the start of the run.
+func (x *run) startText() string {
+	return fmt.Sprintf("%s %s starts at %s%s", x.task, x, clockText(x.startedAt), x.lateText())
+}
+
+// lateText tells how late the start was carried out, if it was.
+func (x *run) lateText() string {
+	if x.late == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (carried out %s after its arrival)", x.late)
+}
+
+// runningText tells of runs that go on.
+func runningText(runs []*run) string {
+	texts := make([]string, len(runs))
+	for i, x := range runs {
+		texts[i] = fmt.Sprintf("%s runs since %s%s", x, clockText(x.startedAt), x.lateText())
+	}
+	return strings.Join(texts, " and ")
+}
+
+// clockText returns the time of day as the logs of the programs have it.
+func clockText(t time.Time) string { return t.UTC().Format("15:04:05.000") }
+
 // percent returns the progress of the run at the time on a runner that is slowed
 // down. A task that runs until it is stopped is at work, which is 100.
 func (x *run) percent(now cowslipbend.Time, slowdown cowslipbend.Span) cowslipbend.Span {
@@ -426,7 +467,18 @@
 	Acked    int64  `json:"ack_seq"`
 	Wait     int64  `json:"wait_ms"`
 
+	// arrivedAt is when the runner carries the call out, late how long after its arrival at the host.
 	arrivedAt cowslipbend.Time
+	late      cowslipbend.Span
+}
+
+// arrivalKey is the key of the time at which a call that is carried out late arrived.
+type arrivalKey struct{}
+
+// WithArrival returns a context for a call that is carried out late. Faults tell how long
+// after the time of its arrival that was.
+func WithArrival(ctx context.Context, at cowslipbend.Time) context.Context {
+	return context.WithValue(ctx, arrivalKey{}, at)
 }
 
 // Handler serves the agent's requests.
@@ -442,6 +494,9 @@
 
 func (r *Runner) serve(w http.ResponseWriter, req *http.Request, operation func(*request, map[string]any) int) {
 	c := request{arrivedAt: timer.Host{}.Now()}
+	if at, late := req.Context().Value(arrivalKey{}).(cowslipbend.Time); late {
+		c.late = max(c.arrivedAt.Sub(at), 1)
+	}
 	if req.Header.Get("X-Cowslipbend-Expect-Instance") != r.name {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -543,11 +598,8 @@
 	defer r.pool.mu.Unlock()
 	r.endedRuns = append(r.endedRuns, endedRun{number: r.nextEnd, run: *x, reason: reason, starts: r.pool.startsOf[x.task]})
 	r.nextEnd++
-	runners := r.pool.running[x.task]
-	if i := slices.Index(runners, r.name); i >= 0 {
-		runners = slices.Delete(runners, i, i+1)
-	}
-	if r.pool.running[x.task] = runners; len(runners) == 0 {
+	runs := slices.DeleteFunc(r.pool.running[x.task], func(y *run) bool { return y == x })
+	if r.pool.running[x.task] = runs; len(runs) == 0 {
 		delete(r.pool.running, x.task)
 	}
 	r.pool.done[x.task] = r.pool.done[x.task] || reason == "done"
@@ -578,13 +630,14 @@
 	case LongSpec:
 		duration = longDuration
 	}
-	r.runs[c.Task] = &run{task: c.Task, number: c.Run, endsAt: now.Add(cmp.Or(length, duration) * r.slowdown), duration: duration, ending: ending}
+	x := &run{task: c.Task, number: c.Run, runner: r.name, bornAt: r.bornAt, startedAt: time.Now(), late: c.late, endsAt: now.Add(cmp.Or(length, duration) * r.slowdown), duration: duration, ending: ending}
+	r.runs[c.Task] = x
 	if c.Spec == CrashSpec && strings.HasSuffix(c.Task, ".0.0.0") {
 		time.AfterFunc(crashDelay, func() { r.crashBy(c.Task, c.Run) })
 	}
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
-	r.pool.recordStart(c.Task, r.name, r.domain, c.arrivedAt, r.contact)
+	r.pool.recordStart(x, r.domain, c.arrivedAt, r.contact)
 	return http.StatusOK
 }
 
--- a/stand/hostrunner/hostrunner_test.go
+++ b/stand/hostrunner/hostrunner_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/stand/hostrunner"
@@ -150,6 +152,64 @@
 	}
 }
 
+// TestFaultsNameRuns guards against a fault from which it can't be told which runs of a task
+// were there at once, since when, and which of them a late call began.
+func TestFaultsNameRuns(t *testing.T) {
+	const (
+		clock = `(\d\d:\d\d:\d\d\.\d{3})`
+		late  = ` \(carried out 1m0(\.\d+)?s after its arrival\)`
+	)
+	timeOfDay := func() string { return time.Now().UTC().Format("15:04:05.000") } // As in the logs.
+	start := func(r *hostrunner.Runner, name string, number int, late bool) {
+		ctx := t.Context()
+		if late {
+			ctx = hostrunner.WithArrival(ctx, timer.Host{}.Now().Add(-cowslipbend.Minute))
+		}
+		body := fmt.Sprintf(`{"task":"job.0.0.0","run":%d,"fencing_token":1,"deadline_ms":%d}`, number, timer.Host{}.Now().Add(cowslipbend.Minute))
+		req := httptest.NewRequestWithContext(ctx, http.MethodPost, "/-/run-start", strings.NewReader(body))
+		req.Header.Set("X-Cowslipbend-Expect-Instance", name)
+		r.Handler().ServeHTTP(httptest.NewRecorder(), req)
+	}
+	for _, test := range []struct {
+		name                  string
+		firstLate, secondLate bool
+		want                  string
+	}{
+		{
+			"both started in time", false, false,
+			`^job.0.0.0 run 7 on i-1@\d+ starts at ` + clock + ` while run 4 on i-0@\d+ runs since ` + clock + "$",
+		},
+		{
+			"the second started late", false, true,
+			`^job.0.0.0 run 7 on i-1@\d+ starts at ` + clock + late + ` while run 4 on i-0@\d+ runs since ` + clock + "$",
+		},
+		{
+			"the first started late", true, false,
+			`^job.0.0.0 run 7 on i-1@\d+ starts at ` + clock + ` while run 4 on i-0@\d+ runs since ` + clock + late + "$",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			pool, before := hostrunner.NewPool(), timeOfDay()
+			start(hostrunner.New(pool, "i-0", cowslipbend.Day), "i-0", 4, test.firstLate)
+			start(hostrunner.New(pool, "i-1", cowslipbend.Day), "i-1", 7, test.secondLate)
+			assert.Equal(t, len(pool.Faults()), 1)
+			assert.Assert(t, cmp.Regexp(test.want, pool.Faults()[0]))
+			got := regexp.MustCompile(" starts at " + clock).FindStringSubmatch(pool.Faults()[0])[1]
+			assert.Assert(t, before <= got && got <= timeOfDay() || timeOfDay() < before, "%s is not the time of day", got)
+		})
+	}
+	t.Run("a later incarnation has other runs of the same name", func(t *testing.T) {
+		pool := hostrunner.NewPool()
+		first, second := hostrunner.New(pool, "i-0", cowslipbend.Day), hostrunner.New(pool, "i-0", cowslipbend.Day)
+		start(first, "i-0", 4, false)
+		start(second, "i-0", 4, true)
+		first.Crash()
+		start(hostrunner.New(pool, "i-1", cowslipbend.Day), "i-1", 7, false)
+		assert.Equal(t, len(pool.Faults()), 2)
+		assert.Assert(t, cmp.Regexp("while run 4 on i-0@\\d+ runs since "+clock+late+"$", pool.Faults()[1]))
+	})
+}
+
 // TestLease guards against a runner on which deadlines of an earlier incarnation have less
 // effect than on the platform.
 func TestLease(t *testing.T) {
--- a/stand/soaker/host.go
+++ b/stand/soaker/host.go
@@ -82,9 +82,10 @@
 
 // delayCall carries out a call late, and does not return until the client has given it up.
 func (h *host) delayCall(r *http.Request) {
+	arrivedAt := timer.Host{}.Now()
 	body, err := io.ReadAll(r.Body)
 	if err == nil {
-		late := r.Clone(context.WithoutCancel(r.Context()))
+		late := r.Clone(hostrunner.WithArrival(context.WithoutCancel(r.Context()), arrivedAt))
 		time.AfterFunc(minLateness+rand.N(maxLateness-minLateness), func() {
 			defer func() { _ = recover() }() // The runner has crashed meanwhile.
 			if runner := h.runner.Load(); runner != nil {
