planner: a test shows two runs where a late start follows the release of its task

A runner leaves a start unanswered. The task is released, as the runner confirms the stop of the run or its next incarnation is reported without it, and runs on another host. A later incarnation of the runner, which knows neither the stop nor the fencing token, carries the start out before its first answer: the task runs twice until the owner has it stopped.

--- a/planner/lease_test.go
+++ b/planner/lease_test.go
@@ -141,3 +141,55 @@
 	}
 	assertState(t, p, "f", cowslipbend.FlowQueued)
 }
+
+// TestLateStartRunsAlone guards against a task that runs elsewhere when a later incarnation carries out its start.
+func TestLateStartRunsAlone(t *testing.T) {
+	const name = "h0"
+	restart := func(p *pool, life cowslipbend.Incarnation, running ...cowslipbend.RunState) {
+		r, spec := p.reports[name], *p.reports[name].Host
+		spec.Life = life
+		r.Host, r.Running = &spec, running
+		p.report(name)
+	}
+	for _, test := range []struct {
+		name    string
+		release func(t *testing.T, p *pool, ref cowslipbend.RunRef)
+	}{
+		{"when the incarnation has confirmed the stop", func(t *testing.T, p *pool, ref cowslipbend.RunRef) {
+			t.Helper()
+			p.advance(3 * cowslipbend.Second)
+			assert.DeepEqual(t, p.decide()[name].Stops, []cowslipbend.RunRef{ref})
+			r := p.reports[name]
+			r.Results = []cowslipbend.RunResult{{RunRef: ref, Kind: cowslipbend.Absent}}
+			p.report(name)
+			r.Results = nil
+		}},
+		{"when the next incarnation has been reported without it", func(t *testing.T, p *pool, _ cowslipbend.RunRef) {
+			t.Helper()
+			p.advance(cowslipbend.Second)
+			restart(p, "h0@2")
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPool(t, 1)
+			p.plan.Submit(flow("f", step(1, 1)))
+			_, late := onlyStart(t, p.decide())
+			sentAt := p.now
+			p.addHost("h1", "r1")
+			p.reports["h1"].Host.Size.CPU *= 2 // It is preferred.
+			test.release(t, p, late)
+			for p.now.Sub(sentAt) < cowslipbend.LateCallTimeout-cowslipbend.Second {
+				p.startRuns(p.decide())
+				p.advance(500 * cowslipbend.Millisecond)
+			}
+			restart(p, "h0@3", cowslipbend.RunState{RunRef: late, Percent: 1})
+			for agent, r := range p.reports {
+				for _, s := range r.Running {
+					assert.Assert(t, s.Task != late.Task || agent == name, "run %d on %s beside run %d on %s", s.Run, agent, late.Run, name)
+				}
+			}
+			assertStarts(t, p.decide(), 0)
+			assert.Equal(t, len(p.reports[name].Running), 1)
+		})
+	}
+}
