--- a/stand/hostrunner/hostrunner.go
+++ b/stand/hostrunner/hostrunner.go
@@ -80,8 +80,10 @@
 	startedJobs map[string]bool
 	faults      []string
 	starts      int
-	// startsOn counts the starts by runner, startsOf by task.
+	// startsOn counts the starts by runner, startsOf by task. lastStarts holds the run of each
+	// task that was started last.
 	startsOn, startsOf map[string]int
+	lastStarts         map[string]*run
 	// noStartsFrom holds the failure domains in which no task may start from the
 	// time on.
 	noStartsFrom map[string]cowslipbend.Time
@@ -93,7 +95,7 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		running: map[string][]*run{}, ackedDone: map[string]cowslipbend.Time{}, done: map[string]bool{}, startedJobs: map[string]bool{}, copySteps: map[string]int{}, startsOn: map[string]int{}, startsOf: map[string]int{}, noStartsFrom: map[string]cowslipbend.Time{},
+		running: map[string][]*run{}, ackedDone: map[string]cowslipbend.Time{}, done: map[string]bool{}, startedJobs: map[string]bool{}, copySteps: map[string]int{}, startsOn: map[string]int{}, startsOf: map[string]int{}, lastStarts: map[string]*run{}, noStartsFrom: map[string]cowslipbend.Time{},
 		crashes: map[string]int{}, lateStarts: map[string]int{},
 	}
 }
@@ -175,6 +177,7 @@
 	p.starts++
 	p.startsOn[x.runner]++
 	p.startsOf[x.task]++
+	p.lastStarts[x.task] = x
 	job, round, step, ok := splitTaskName(x.task)
 	if others := p.running[x.task]; len(others) > 0 {
 		if p.allowsCopies(x.task) && len(others) == 1 && others[0].runner != x.runner {
@@ -227,7 +230,7 @@
 		p.ackedDone[e.run.task] = timer.Host{}.Now()
 	}
 	if p.startsOf[e.run.task] > e.starts && !p.allowsCopies(e.run.task) {
-		p.addFault("%s was started again after the end of %s as done, which is acknowledged now", e.run.task, &e.run)
+		p.addFault("%s after the end of %s as done, which is acknowledged now", p.lastStarts[e.run.task].startText(), &e.run)
 	}
 }
 
--- a/stand/hostrunner/hostrunner_test.go
+++ b/stand/hostrunner/hostrunner_test.go
@@ -198,6 +198,17 @@
 			assert.Assert(t, before <= got && got <= timeOfDay() || timeOfDay() < before, "%s is not the time of day", got)
 		})
 	}
+	t.Run("the end is acknowledged after the second start", func(t *testing.T) {
+		pool := hostrunner.NewPool()
+		first := hostrunner.New(pool, "i-0", 1)
+		start(first, "i-0", 4, false)
+		time.Sleep(10 * time.Millisecond)
+		call(t, first, "i-0", "hold", `{"fencing_token":1}`)
+		start(hostrunner.New(pool, "i-1", cowslipbend.Day), "i-1", 1, true)
+		call(t, first, "i-0", "hold", `{"fencing_token":1,"ack_seq":1}`)
+		assert.Equal(t, len(pool.Faults()), 1)
+		assert.Assert(t, cmp.Regexp(`^job.0.0.0 run 1 on i-1@\d+ starts at `+clock+late+` after the end of run 4 on i-0@\d+ as done, which is acknowledged now$`, pool.Faults()[0]))
+	})
 	t.Run("a later incarnation has other runs of the same name", func(t *testing.T) {
 		pool := hostrunner.NewPool()
 		first, second := hostrunner.New(pool, "i-0", cowslipbend.Day), hostrunner.New(pool, "i-0", cowslipbend.Day)
