--- a/planner/late_test.go
+++ b/planner/late_test.go
@@ -106,6 +106,16 @@
 		name, _ := onlyStart(t, l.decide())
 		assert.Equal(t, name, otherHost)
 	})
+	t.Run("it runs elsewhere at once if the next runner has another id", func(t *testing.T) {
+		l := newLateStart(t, step(1, 1))
+		l.advance(cowslipbend.Second)
+		next := *l.reports[lateHost].Host
+		next.Runner = "h9"
+		l.reports[lateHost].Host = &next
+		l.restart("h9@2")
+		name, _ := onlyStart(t, l.decide())
+		assert.Equal(t, name, otherHost)
+	})
 	t.Run("other tasks of its step run elsewhere", func(t *testing.T) {
 		p := newPool(t, 1)
 		p.plan.Submit(flow("f", step(3, 2)))
--- a/planner/loss.go
+++ b/planner/loss.go
@@ -59,7 +59,9 @@
 	if r.Host == nil {
 		p.keepUnanswered(h, loss, now)
 	} else {
-		p.bindUnanswered(h)
+		if r.Host.Runner == h.spec.Runner { // A runner refuses calls for one of another id.
+			p.bindUnanswered(h)
+		}
 		p.removeHost(h)
 	}
 	for _, c := range lost {
