supervisor: runs on a restarted runner end with the lease that the owner granted

Callers would see a task run twice at a time, for up to 4 s. A start that an incarnation of a runner left unanswered is carried out by the next one, before that has answered the agent; its lease is then up to hold_max_ms (10 s), as the deadline is a time on the earlier clock. If the host is cut off before the owner hears of that incarnation, the owner gives up the runs of the earlier one at the end of the lease that it granted for it, some 6.3 s after its last reply, and places the task elsewhere, while the run goes on. Agent and runner still reach each other then, but the agent only stopped renewing.

The agent now stops the runs that an incarnation lists of which no owner has shown to have heard, stop_grace_ms and 300 ms before the granted lease ends: for each of its runs, with the current fence and for that incarnation, until its lists have none. An owner has heard of it once it has granted a lease for it or sent it orders; from then on it counts on the longest lease itself, and so does a successor, so nothing is stopped. Before the first heartbeat the runs are those that the incarnation returned when the probe fenced it. An owner that answers gets 2 s to hear of an incarnation that is found late. The lists are complete once the incarnation refuses earlier calls, so there are no stops and no calls where they are empty, as after each ordinary restart.

An agent that has restarted doesn't know the grants of the process before it. It takes the lease to have been granted at its own start: all leases of that process end by then, so no sound work is stopped more than the 1.2 s earlier. For that the length of a grant moves from the entry to package conductor, which agents see too. Until it knows the owner's epoch it can stop nothing.

--- a/agent/joiner/joiner.go
+++ b/agent/joiner/joiner.go
@@ -47,6 +47,7 @@
 	a := &Agent{settings: s, log: log, store: platform.NewStore(s.Store, clock, instruments), caller: caller.New(instruments), runner: platform.NewRunner(s.Runner)}
 	supervisorSettings := supervisor.Settings{
 		Metrics: instruments, URL: s.URL(), Life: cowslipbend.Incarnation(cowslipbend.DrawID()), MaxLease: s.Bounds.MaxLease,
+		Grant: conductor.Grant(s.Bounds.MaxLease), StopGrace: s.Bounds.StopGrace,
 	}
 	if s.Bounds.Evacuation > 0 {
 		supervisorSettings.MaxDomainAge = max(s.Bounds.Evacuation-domainMargin, domainMargin)
--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -31,14 +31,8 @@
 
 // Lease and shutdown times of an entry.
 const (
-	// leaseNumerator / leaseDenominator is the share of the platform's hold
-	// limit that a lease uses. The rest is margin for rounding and slow clocks.
-	leaseNumerator   = 9
+	// leaseDenominator is the part of a lease that is added to it for slow clocks.
 	leaseDenominator = 10
-	// maxLease bounds a lease. It lets tasks survive an agent that is paused
-	// for four seconds. A longer lease would delay the restart of tasks of a
-	// lost host, which waits until the lease has lapsed.
-	maxLease = 6 * cowslipbend.Second
 	// maxUnconfirmed is how long an owner grants leases without confirmation
 	// by the store. Together with the lease, tasks survive a store outage of
 	// nine seconds. A new owner waits as long before it gives up the runs of a
@@ -90,7 +84,7 @@
 	}, clock, log.Named("ruler"))
 	url := s.URL()
 	life := cowslipbend.Incarnation(cowslipbend.DrawID())
-	lease := min(s.Bounds.MaxLease*leaseNumerator/leaseDenominator, maxLease)
+	lease := conductor.Grant(s.Bounds.MaxLease)
 	var advisor cowslipbend.Advisor
 	if s.Advisor != "" {
 		advisor = platform.NewAdvisor(s.Advisor)
--- a/supervisor/hold.go
+++ b/supervisor/hold.go
@@ -135,6 +135,7 @@
 		s.triggerReport()
 	}
 	s.running = s.withStarted(list, renewal)
+	s.triggerEnforcement()
 	if s.moreEnds != list.MoreEnds {
 		s.log.Info("runner's list of ended runs", "life", life, "complete", !list.MoreEnds, "ends", len(list.Ends))
 	}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -22,6 +22,9 @@
 	if s.host != nil {
 		life = s.host.Life
 	}
+	if life != "" && o.Life == life {
+		s.found.reported = true
+	}
 	draining := s.host != nil && s.host.Draining
 	for i := range o.KnownRuns {
 		s.addRun(&o.KnownRuns[i])
--- a/supervisor/probe.go
+++ b/supervisor/probe.go
@@ -88,9 +88,10 @@
 		return true
 	}
 	s.lifeNumber++
-	token := s.token()
+	number, token := s.lifeNumber, s.token()
 	s.mu.Unlock()
-	if _, err := s.ask(ctx, life, token); err != nil {
+	list, err := s.ask(ctx, life, token)
+	if err != nil {
 		s.log.Info("runner that has started again did not answer", "life", life, "error", err)
 		return false
 	}
@@ -98,5 +99,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fencedOff = next
+	if number == s.lifeNumber && list.Life == life {
+		s.noteFound(life, list.Running)
+	}
 	return true
 }
--- a/supervisor/report.go
+++ b/supervisor/report.go
@@ -125,6 +125,7 @@
 	if reply.Owner != url {
 		return false
 	}
+	s.lastReplyAt = max(s.lastReplyAt, sentAt)
 	s.applyDomains(reply.Epoch, reply.Out)
 	s.domains.askedAt = max(s.domains.askedAt, sentAt)
 	if newEpoch {
@@ -156,6 +157,7 @@
 // applyReply applies the lease grant and the acknowledgement of a reply.
 func (s *Supervisor) applyReply(sentAt cowslipbend.Time, reply *cowslipbend.ReportReply) {
 	if reply.LeaseGrant > 0 {
+		s.found.reported = true
 		first := s.leaseEnd <= s.clock.Now()
 		s.leaseEnd = max(s.leaseEnd, sentAt.Add(min(reply.LeaseGrant, s.settings.MaxLease)))
 		if first {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -69,6 +69,9 @@
 	Life cowslipbend.Incarnation
 	// MaxLease is the longest lease that the runner accepts.
 	MaxLease cowslipbend.Span
+	// Grant is the longest lease that an owner grants, and StopGrace the longest time that a
+	// run takes to stop.
+	Grant, StopGrace cowslipbend.Span
 	// MaxDomainAge is the time since the last answered report after which nothing
 	// is started, as failure domains may have gone out of service meanwhile. Zero
 	// means no limit.
@@ -126,6 +129,13 @@
 	lateCallsUntil cowslipbend.Time
 	probeTrigger   chan struct{}
 	fencedOff      fencedLife
+	// found is the latest incarnation that was found. enforceTrigger holds a value when its
+	// runs have changed.
+	found          foundLife
+	enforceTrigger chan struct{}
+	// startedAt is when this process began, and lastReplyAt when it sent the last report that an
+	// owner has answered.
+	startedAt, lastReplyAt cowslipbend.Time
 	// clockOffset is the least time by which the runner's clock is ahead of
 	// this host's clock. clockSynced is set once it is known.
 	clockOffset cowslipbend.Span
@@ -213,7 +223,7 @@
 	model := estimator.New()
 	w := &Supervisor{
 		settings: s, runner: r, caller: c, findOwner: findOwner, clock: clock, log: log, entryURLs: s.Entries,
-		reportedAt: map[int64]cowslipbend.Time{}, runs: map[cowslipbend.RunRef]*run{}, model: model, pacer: pacer.New(model), renewalTrigger: make(chan struct{}), reportTrigger: make(chan struct{}, 1), candidateTrigger: make(chan struct{}, 1), probeTrigger: make(chan struct{}, 1),
+		reportedAt: map[int64]cowslipbend.Time{}, runs: map[cowslipbend.RunRef]*run{}, model: model, pacer: pacer.New(model), renewalTrigger: make(chan struct{}), reportTrigger: make(chan struct{}, 1), candidateTrigger: make(chan struct{}, 1), probeTrigger: make(chan struct{}, 1), enforceTrigger: make(chan struct{}, 1),
 		ready: make(chan struct{}), done: make(chan struct{}),
 	}
 	w.goroutines.Guard = recoverer.Guard("orders", log, s.Metrics)
@@ -231,11 +241,13 @@
 	defer s.goroutines.End()
 	close(s.ready)
 	s.mu.Lock()
+	s.startedAt = s.clock.Now()
 	s.expectLateCalls() // Those of an earlier process.
 	s.mu.Unlock()
 	g.Go(func() error { return s.repeat(ctx, "identity", s.identifyRunner) })
 	g.Go(func() error { return s.repeat(ctx, "probe", s.probeRunner) })
 	g.Go(func() error { return s.repeat(ctx, "renewal", s.renewLeases) })
+	g.Go(func() error { return s.repeat(ctx, "grant", s.enforceGrant) })
 	g.Go(func() error { return s.repeat(ctx, "report", s.sendReports) })
 	return g.Wait()
 }
@@ -287,6 +299,8 @@
 	s.lastContact, s.unreachableRenewals, s.contactBrokenAt = s.clock.Now(), 0, 0
 	s.clockSynced, s.ackedThrough, s.ackConfirmed = false, 0, 0
 	s.lifeNumber, s.fence, s.lifeFenced = s.lifeNumber+1, 0, false
+	s.noteFound(b.Host.Life, nil)
+	s.found.reported = false
 	s.running, s.unackedEnds, s.moreEnds, s.unreportedResults = nil, nil, false, nil
 	s.listedRenewal = s.renewals
 	s.runs = map[cowslipbend.RunRef]*run{}
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -45,8 +45,13 @@
 	pollErr  error
 	failures int
 	stopErr  error
+	// endsStopped is set if runs that are stopped end.
+	endsStopped bool
 	// life is the incarnation that answers, if it is not the constant.
 	life cowslipbend.Incarnation
+	// tellsLife is set if calls that are meant for another incarnation fail, as those of
+	// platform.Runner do.
+	tellsLife bool
 	// silentLife is an incarnation at which renewals wait until they are cancelled, and
 	// waiting counts them.
 	silentLife cowslipbend.Incarnation
@@ -67,6 +72,20 @@
 	paces map[cowslipbend.RunRef]int
 }
 
+// errOtherLife is returned for calls that are meant for another incarnation.
+var errOtherLife = cowslipbend.Fail(cowslipbend.KindStale, "another incarnation of the runner replied", "")
+
+// end has a running run end as stopped. The caller holds the lock.
+func (r *runner) end(ref cowslipbend.RunRef) {
+	for i := range r.running {
+		if r.running[i].RunRef == ref {
+			r.running = slices.Delete(r.running, i, i+1)
+			r.ends = append(r.ends, cowslipbend.RunEnd{RunRef: ref, Number: int64(len(r.ends) + 1), Kind: cowslipbend.EndStopped})
+			return
+		}
+	}
+}
+
 // admit reports a call that the runner refuses for its fence. The caller holds the lock.
 func (r *runner) admit(fence cowslipbend.Fence) error {
 	if fence < r.fence {
@@ -90,13 +109,19 @@
 	return r.clock.Now(), r.startErr
 }
 
-func (r *runner) Stop(_ context.Context, _ cowslipbend.Incarnation, ref cowslipbend.RunRef, fence cowslipbend.Fence) error {
+func (r *runner) Stop(_ context.Context, asked cowslipbend.Incarnation, ref cowslipbend.RunRef, fence cowslipbend.Fence) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.tellsLife && asked != cmp.Or(r.life, life) {
+		return errOtherLife
+	}
 	if err := r.admit(fence); err != nil {
 		return err
 	}
 	r.stopOrders = append(r.stopOrders, ref)
+	if r.endsStopped && r.stopErr == nil {
+		r.end(ref)
+	}
 	return r.stopErr
 }
 
@@ -114,6 +139,9 @@
 		r.panicNext = false
 		panic("index out of range")
 	}
+	if answering := cmp.Or(r.life, life); r.tellsLife && asked != answering {
+		return cowslipbend.RunList{Life: answering}, errOtherLife
+	}
 	id, _, _ := strings.Cut(string(cmp.Or(r.life, life)), "@")
 	if !strings.HasPrefix(string(asked), id+"@") {
 		return cowslipbend.RunList{}, cowslipbend.Fail(cowslipbend.KindStale, "another incarnation of the runner replied", "")
@@ -260,7 +288,7 @@
 	srv := httptest.NewServer(mux)
 	t.Cleanup(srv.Close)
 	f.owner.url = srv.URL
-	settings := supervisor.Settings{URL: "http://agent", Entries: []string{srv.URL}, Life: "a", MaxLease: 6 * cowslipbend.Second}
+	settings := supervisor.Settings{URL: "http://agent", Entries: []string{srv.URL}, Life: "a", MaxLease: 6 * cowslipbend.Second, Grant: 5 * cowslipbend.Second, StopGrace: 900 * cowslipbend.Millisecond}
 	change(&settings)
 	f.supervisor = supervisor.New(settings, f.runner, caller.New(nil), func(context.Context) string { return "" }, clock, hclog.NewNullLogger())
 	ctx, cancel := context.WithCancel(t.Context())
