internal/bounder: each listener has a bounded number of connections

Connections that send nothing used up the descriptors of a process (6,023 of 4,100), and unfinished headers or unread replies its memory: nothing bounded them below limits.max_fds, which was not read.

Each listener gets a share of the descriptors and of the memory of the settings. Beyond it the connection that has waited for its peer for the longest time is closed; one that is being served is not, and a closed one counts until its request has ended. Headers have 64 lines and some 8 KB, as a field of 6 bytes takes 100 in net/http. Replies end after 90 s, and the kernel's buffers of callers' connections are small.

--- a/agent/joiner/joiner.go
+++ b/agent/joiner/joiner.go
@@ -14,6 +14,7 @@
 	"cowslipbend.dev"
 	"cowslipbend.dev/conductor"
 	"cowslipbend.dev/instrumenter"
+	"cowslipbend.dev/internal/bounder"
 	"cowslipbend.dev/internal/caller"
 	"cowslipbend.dev/internal/recoverer"
 	"cowslipbend.dev/internal/server"
@@ -60,11 +61,14 @@
 	server.HandleOps(opsMux, reg, func() error { return nil })
 	a.supervisor.Serve(mux)
 	guard := func(part string, h http.Handler) http.Handler { return recoverer.Handler(part, log, instruments, h) }
+	bounds := bounder.NewGroup(clock, log.Named("bounder"))
+	reg.MustRegister(bounds)
+	shares := bounder.Divide(s.Memory, s.Descriptors)
 	var err error
 	a.servers, err = server.ListenAll(
-		server.Address{Addr: s.InternalAddress(), Handler: guard("internal", caller.CountBytes(mux, instruments))},
-		server.Address{Addr: s.Control, Handler: guard("control", platform.ControlHandler(a.supervisor))},
-		server.Address{Addr: s.MetricsAddress(), Handler: guard("metrics", opsMux)},
+		server.Address{Addr: s.InternalAddress(), Handler: guard("internal", caller.CountBytes(mux, instruments)), Bounds: bounds.Add(shares.Internal)},
+		server.Address{Addr: s.Control, Handler: guard("control", platform.ControlHandler(a.supervisor)), Bounds: bounds.Add(shares.Control)},
+		server.Address{Addr: s.MetricsAddress(), Handler: guard("metrics", opsMux), Bounds: bounds.Add(shares.Metrics)},
 	)
 	return a, err
 }
--- a/agent/runner/run.go
+++ b/agent/runner/run.go
@@ -15,6 +15,7 @@
 	"cowslipbend.dev/executor"
 	"cowslipbend.dev/forwarder"
 	"cowslipbend.dev/heartbeater"
+	"cowslipbend.dev/internal/bounder"
 	"cowslipbend.dev/internal/control"
 	"cowslipbend.dev/internal/recoverer"
 	"cowslipbend.dev/internal/server"
@@ -80,11 +81,16 @@
 	a.forwarder = forwarder.New(a.gate, idleConnsPerEndpoint, gateOpts.MaxAnswerSize)
 	a.metrics = newMetrics(a)
 	a.panics = recoverer.NewMetric(a.metrics)
+	bounds := bounder.NewGroup(clock, log.Named("bounder"))
+	a.metrics.MustRegister(bounds)
+	bound := func(name string) *bounder.Bounder {
+		return bounds.Add(bounder.Limits{Name: name, Conns: s.MaxConns})
+	}
 	var err error
-	if a.entryServer, err = server.ListenWrapped(s.Listen, s.Wrap, recoverer.Handler("request", log, a.panics, a.handler())); err != nil {
+	if a.entryServer, err = server.Open(server.Address{Addr: s.Listen, Handler: recoverer.Handler("request", log, a.panics, a.handler()), Bounds: bound("entry"), Wrap: s.Wrap}); err != nil {
 		return nil, err
 	}
-	if a.localServer, err = server.Listen(s.Local, recoverer.Handler("local", log, a.panics, a.localHandler())); err != nil {
+	if a.localServer, err = server.Open(server.Address{Addr: s.Local, Handler: recoverer.Handler("local", log, a.panics, a.localHandler()), Bounds: bound("local")}); err != nil {
 		a.entryServer.Close()
 		return nil, err
 	}
--- a/agent/runner/settings.go
+++ b/agent/runner/settings.go
@@ -4,6 +4,7 @@
 	"net/url"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/internal/bounder"
 	"cowslipbend.dev/internal/server"
 	"cowslipbend.dev/throttler"
 )
@@ -29,6 +30,8 @@
 	PollInterval      cowslipbend.Span
 	// DrainTimeout is how long requests in flight may continue after SIGTERM.
 	DrainTimeout cowslipbend.Span
+	// MaxConns is how many connections each listener has at a time. Zero means no limit.
+	MaxConns int
 	// Wrap wraps the listener for entries, so that tests and the stand can inject
 	// network faults. It may be nil.
 	Wrap server.ListenerWrapper
@@ -42,7 +45,7 @@
 		Listen: "127.0.0.1:7100", Local: "127.0.0.1:7101", Worker: "http://127.0.0.1:7102",
 		Entries: []string{"http://127.0.0.1:7001"}, Log: "info",
 		HeartbeatInterval: cowslipbend.Second, PollInterval: cowslipbend.Second / 4, DrainTimeout: cowslipbend.Minute,
-		Guard: throttler.Throttle,
+		Guard: throttler.Throttle, MaxConns: bounder.DefaultConns,
 	}
 }
 
@@ -73,6 +76,7 @@
 	if s.DrainTimeout < 0 {
 		l.Add(cowslipbend.Invalid("--drain", "is negative", "give a time such as 60s"))
 	}
+	l.Add(bounder.Check(s.MaxConns))
 	return l.Err()
 }
 
--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -18,6 +18,7 @@
 	"cowslipbend.dev/elector"
 	"cowslipbend.dev/instrumenter"
 	"cowslipbend.dev/intaker"
+	"cowslipbend.dev/internal/bounder"
 	"cowslipbend.dev/internal/caller"
 	"cowslipbend.dev/internal/meter"
 	"cowslipbend.dev/internal/recoverer"
@@ -118,13 +119,16 @@
 	guard := func(part string, h http.Handler) http.Handler {
 		return recoverer.Handler(part, e.log, e.instruments, h)
 	}
+	bounds := bounder.NewGroup(e.clock, e.log.Named("bounder"))
+	e.metrics.MustRegister(bounds)
+	shares := bounder.Divide(e.settings.Memory, e.settings.Descriptors)
 	var err error
 	e.servers, err = server.ListenAll(
-		server.Address{Addr: e.settings.InternalAddress(), Handler: guard("internal", e.internalHandler())},
-		server.Address{Addr: e.settings.Front, Handler: guard("front", platform.NewFront(e.intaker))},
-		server.Address{Addr: e.settings.Ready, Handler: guard("ready", platform.ReadyHandler(e.intaker))},
-		server.Address{Addr: e.settings.Control, Handler: guard("control", control)},
-		server.Address{Addr: e.settings.MetricsAddress(), Handler: guard("metrics", ops)},
+		server.Address{Addr: e.settings.InternalAddress(), Handler: guard("internal", e.internalHandler()), Bounds: bounds.Add(shares.Internal)},
+		server.Address{Addr: e.settings.Front, Handler: guard("front", platform.NewFront(e.intaker)), Bounds: bounds.Add(shares.Front)},
+		server.Address{Addr: e.settings.Ready, Handler: guard("ready", platform.ReadyHandler(e.intaker)), Bounds: bounds.Add(shares.Ready)},
+		server.Address{Addr: e.settings.Control, Handler: guard("control", control), Bounds: bounds.Add(shares.Control)},
+		server.Address{Addr: e.settings.MetricsAddress(), Handler: guard("metrics", ops), Bounds: bounds.Add(shares.Metrics)},
 	)
 	return err
 }
--- a/entry/runner/run.go
+++ b/entry/runner/run.go
@@ -17,6 +17,7 @@
 	"cowslipbend.dev"
 	"cowslipbend.dev/administrator"
 	"cowslipbend.dev/cordoner"
+	"cowslipbend.dev/internal/bounder"
 	"cowslipbend.dev/internal/control"
 	"cowslipbend.dev/internal/dialer"
 	"cowslipbend.dev/internal/recoverer"
@@ -121,11 +122,14 @@
 	e.config.OnChange(func(_ cowslipbend.Revision, set *cowslipbend.Set) { e.recorder.SetServices(set) })
 	e.config.OnChange(func(_ cowslipbend.Revision, set *cowslipbend.Set) { e.limits.Declare(set.Limits) })
 	handler := &deferredHandler{}
-	if e.server, err = server.ListenWrapped(s.Listen, s.Wrap, handler); err != nil {
+	bounds := bounder.NewGroup(clock, log.Named("bounder"))
+	limits := bounder.Limits{Name: "entry", Conns: s.MaxConns}
+	if e.server, err = server.Open(server.Address{Addr: s.Listen, Handler: handler, Bounds: bounds.Add(limits), Wrap: s.Wrap}); err != nil {
 		return nil, err
 	}
 	e.buildWithURL()
 	e.metrics = newMetrics(e)
+	e.metrics.registry.MustRegister(bounds)
 	handler.Handler = recoverer.Handler("request", log, e.metrics.panics, e.handler())
 	e.owners.Guard = func(part string, f func() error) error { return recoverer.Call(part, log, e.metrics.panics, f) }
 	return e, nil
--- /dev/null
+++ b/internal/bounder/divide.go
@@ -0,0 +1,79 @@
+package bounder
+
+import (
+	"math"
+
+	"cowslipbend.dev"
+)
+
+// Shares are the limits of the listeners of a process.
+type Shares struct {
+	// Front is for callers, Internal for other processes of the system, Control for the
+	// runner.
+	Front, Internal, Control, Ready, Metrics Limits
+}
+
+// Divide divides the memory and the descriptors of a process, zero for no limit:
+//
+//	listener   connections of descriptors   of memory
+//	Front      30 %                         1/5
+//	Internal   30 %                         1/10
+//	Control    4 %                          1/64
+//	Ready      2 %                          1/128
+//	Metrics    2 %                          1/128
+//
+// What is left is for
+// the process itself, the connections that it makes, and garbage between collections.
+// A connection counts with its header and the kernel's buffers; an internal one
+// without them, as other processes of the system send short headers and read what they asked for.
+func Divide(memory cowslipbend.Bytes, descriptors int) Shares {
+	if memory <= 0 {
+		memory = math.MaxInt64
+	}
+	if descriptors <= 0 {
+		descriptors = math.MaxInt32
+	}
+	sockets := max(descriptors-reservedDescriptors, descriptors/2)
+	share := func(name string, percent int, conns, connMemory, buffer cowslipbend.Bytes) Limits {
+		return Limits{
+			Name: name, Conns: max(min(sockets*percent/100, int(memory/conns/connMemory)), minConns),
+			Buffer: buffer, Header: maxHeader, HeaderLines: maxHeaderLines, ReplyTime: replyTimeout, HTTP1: true,
+		}
+	}
+	const callerMemory = idleMemory + headerMemory + kernelBuffers*callerBuffer
+	return Shares{
+		Front:    share("front", 30, 5, callerMemory, callerBuffer),
+		Internal: share("internal", 30, 10, idleMemory+headerMemory, peerBuffer),
+		Control:  share("control", 4, 64, callerMemory, callerBuffer),
+		Ready:    share("ready", 2, 128, callerMemory, callerBuffer),
+		Metrics:  share("metrics", 2, 128, callerMemory, callerBuffer),
+	}
+}
+
+// Limits of a listener of which the settings say nothing.
+const DefaultConns = 10000
+
+// Check returns KindInvalid if a limit of the settings is out of bounds.
+func Check(conns int) error {
+	if conns < 0 {
+		return cowslipbend.Invalid("--conns", "is negative", "give a number of connections, or 0 for no limit")
+	}
+	return nil
+}
+
+// replyTimeout exceeds the time that any handler takes.
+const replyTimeout = 90 * cowslipbend.Second
+
+// Memory of a connection, and the descriptors that are not for sockets.
+const (
+	idleMemory     = 11 * cowslipbend.KB // without a request
+	headerMemory   = 24 * cowslipbend.KB // of a header of maxHeader and maxHeaderLines
+	maxHeader      = 4 * cowslipbend.KB  // to which net/http adds 4 KB
+	maxHeaderLines = 64
+	callerBuffer   = 16 * cowslipbend.KB
+	peerBuffer     = 128 * cowslipbend.KB
+	kernelBuffers  = 4 // the kernel takes twice the size that it is given, in each direction
+
+	reservedDescriptors = 200
+	minConns            = 4
+)
--- /dev/null
+++ b/internal/server/bound_test.go
@@ -0,0 +1,132 @@
+package server_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"cowslipbend.dev/internal/bounder"
+	"cowslipbend.dev/internal/server"
+	"cowslipbend.dev/timer"
+)
+
+// waitTimeout bounds each wait for a condition.
+const waitTimeout = 30 * time.Second
+
+// bounded is a server that returns the size of each body once release is closed.
+type bounded struct {
+	t       *testing.T
+	addr    string
+	bounds  *bounder.Bounder
+	release chan struct{}
+	handled atomic.Int64
+}
+
+func newBounded(t *testing.T, l bounder.Limits) *bounded {
+	t.Helper()
+	s := &bounded{t: t, bounds: bounder.New(l, timer.Host{}, hclog.NewNullLogger()), release: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /", func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s.handled.Add(1)
+		defer s.handled.Add(-1)
+		<-s.release
+		_, _ = fmt.Fprint(w, len(data))
+	})
+	mux.HandleFunc("GET /", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, "ok") })
+	srv, err := server.Open(server.Address{Addr: "127.0.0.1:0", Handler: mux, Bounds: s.bounds})
+	assert.NilError(t, err)
+	s.addr = strings.TrimPrefix(srv.URL(), "http://")
+	var g errgroup.Group
+	g.Go(srv.Run)
+	t.Cleanup(func() {
+		srv.Close()
+		assert.NilError(t, g.Wait())
+	})
+	return s
+}
+
+// send opens a connection and sends the text.
+func (s *bounded) send(text string) net.Conn {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.addr)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(s.t, c.SetDeadline(time.Now().Add(waitTimeout)))
+	_, err = io.WriteString(c, text)
+	assert.NilError(s.t, err)
+	return c
+}
+
+// post sends a request that announces size bytes, and the body.
+func (s *bounded) post(size int, body string) net.Conn {
+	s.t.Helper()
+	return s.send(fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", size, body))
+}
+
+// waitFor waits until the bounder has so many connections, and so many requests are handled.
+func (s *bounded) waitFor(conns int, handled int64) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if gotConns, gotHandled := s.bounds.Conns(), s.handled.Load(); gotConns != conns || gotHandled != handled {
+			return poll.Continue("%d connections and %d requests, not %d and %d", gotConns, gotHandled, conns, handled)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(waitTimeout), poll.WithDelay(time.Millisecond))
+}
+
+// assertReply reads a reply with the status, and returns its body.
+func assertReply(t *testing.T, c net.Conn, status int) string {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, status)
+	return string(body)
+}
+
+func assertClosed(t *testing.T, c net.Conn) {
+	t.Helper()
+	n, err := c.Read(make([]byte, 1))
+	assert.Assert(t, err != nil, "read %d bytes", n)
+}
+
+// TestConnectionsAreBounded guards against peers that use up the descriptors.
+func TestConnectionsAreBounded(t *testing.T) {
+	t.Run("the connection that has waited for the longest time is closed", func(t *testing.T) {
+		s := newBounded(t, bounder.Limits{Conns: 2})
+		first, second := s.send(""), s.send("")
+		s.waitFor(2, 0)
+		third := s.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		assert.Equal(t, assertReply(t, third, http.StatusOK), "ok")
+		assertClosed(t, first)
+		s.waitFor(2, 0)
+		_, err := io.WriteString(second, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		assert.NilError(t, err)
+		assert.Equal(t, assertReply(t, second, http.StatusOK), "ok")
+	})
+	t.Run("a request that is handled keeps its connection", func(t *testing.T) {
+		s := newBounded(t, bounder.Limits{Conns: 1})
+		handled := s.post(1, "x")
+		s.waitFor(1, 1)
+		assertClosed(t, s.send(""))
+		close(s.release)
+		assert.Equal(t, assertReply(t, handled, http.StatusOK), "1")
+	})
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/internal/bounder"
 	"cowslipbend.dev/internal/dialer"
 )
 
@@ -25,7 +26,7 @@
 	headerTimeout = 5 * time.Second
 	pingInterval  = 10 * time.Second
 	pingTimeout   = 5 * time.Second
-	maxHeaderSize = 32 << 10 // bytes
+	maxHeaderSize = 32 << 10 // bytes, unless the bounds say less
 	maxStreams    = 1000     // of one HTTP/2 connection
 )
 
@@ -39,11 +40,7 @@
 // Listen listens on the address. It returns KindInvalid if it cannot. Requests
 // are served once Run is called.
 func Listen(addr string, h http.Handler) (*Server, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, cowslipbend.Failf(cowslipbend.KindInvalid, err, "give a free IP:PORT of this host", "cannot listen on %q", addr)
-	}
-	return Serve(ln, h), nil
+	return Open(Address{Addr: addr, Handler: h})
 }
 
 // Address is an address with the handler to serve on it. It is skipped if Addr is
@@ -51,6 +48,43 @@
 type Address struct {
 	Addr    string
 	Handler http.Handler
+	// Bounds bounds the peers of the address; it may be nil.
+	Bounds *bounder.Bounder
+	// Wrap wraps the listener; it may be nil.
+	Wrap ListenerWrapper
+}
+
+// Open listens on the address, like Listen.
+func Open(a Address) (*Server, error) {
+	config := net.ListenConfig{}
+	if a.Bounds != nil {
+		config.Control = a.Bounds.LimitBuffers
+	}
+	ln, err := config.Listen(context.Background(), "tcp", a.Addr)
+	if err != nil {
+		return nil, cowslipbend.Failf(cowslipbend.KindInvalid, err, "give a free IP:PORT of this host", "cannot listen on %q", a.Addr)
+	}
+	if a.Wrap != nil {
+		ln = a.Wrap(ln)
+	}
+	s := Serve(ln, a.Handler)
+	if a.Bounds != nil {
+		s.bound(a.Bounds)
+	}
+	return s, nil
+}
+
+// bound bounds the peers of the server.
+func (s *Server) bound(b *bounder.Bounder) {
+	s.ln = b.Listener(s.ln)
+	s.http.Handler = b.Handler(s.http.Handler)
+	s.http.ConnState, s.http.ConnContext = b.ConnState, b.ConnContext
+	limits := b.Limits()
+	s.http.WriteTimeout = limits.ReplyTime.Duration()
+	if limits.Header > 0 {
+		s.http.MaxHeaderBytes = int(limits.Header)
+	}
+	s.http.Protocols.SetUnencryptedHTTP2(!limits.HTTP1)
 }
 
 // ListenAll listens on the addresses in their order. If one fails, it closes the
@@ -61,7 +95,7 @@
 		if a.Addr == "" {
 			continue
 		}
-		s, err := Listen(a.Addr, a.Handler)
+		s, err := Open(a)
 		if err != nil {
 			for _, s := range all {
 				s.Close()
@@ -76,15 +110,6 @@
 // ListenerWrapper returns a listener that wraps another one.
 type ListenerWrapper func(net.Listener) net.Listener
 
-// ListenWrapped is Listen with a wrapper for the listener, or nil for none.
-func ListenWrapped(addr string, wrap ListenerWrapper, h http.Handler) (*Server, error) {
-	s, err := Listen(addr, h)
-	if err == nil && wrap != nil {
-		s.ln = wrap(s.ln)
-	}
-	return s, err
-}
-
 // Serve returns a server for an open listener. Requests are served once Run is
 // called.
 func Serve(ln net.Listener, h http.Handler) *Server {
