internal/bounder: the bodies of requests share a bounded memory

The body of each request is wrapped before a handler sees it, so that whatever is read is counted, at each listener. Beyond a share of the memory the body that has arrived for the longest time is refused with 503 before it is decoded, so "has not run" is true; its memory is waited for. The first 16 KB need no room, so that small requests and health checks are served meanwhile, nor does a body that is alone. A body may take 30 s. Buffers for an announced length grow with what arrives.

A refused call of another process is KindDown, as it had no effect. The elector took KindDown for an owner that doesn't listen; now only where no reply came (TestRefusedCheckIsNoAbsence failed before).

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -16,6 +16,7 @@
 	"cowslipbend.dev"
 	"cowslipbend.dev/checker"
 	"cowslipbend.dev/cordoner"
+	"cowslipbend.dev/internal/bounder"
 	"cowslipbend.dev/internal/dialer"
 	"cowslipbend.dev/internal/server"
 	"cowslipbend.dev/publisher"
@@ -286,6 +287,9 @@
 			err = errors.New("text follows the value")
 		}
 	}
+	if refusal := bounder.Refusal(err); refusal != nil {
+		return refusal
+	}
 	if err != nil {
 		text := strings.TrimPrefix(err.Error(), "json: ")
 		return cowslipbend.Invalid("body", "does not decode: "+text, "compare it with the documented form")
--- a/agent/main.go
+++ b/agent/main.go
@@ -38,6 +38,7 @@
 			starter.String("guard", string(d.Guard), "how services are protected from batch tasks: throttle, evict or off"),
 			starter.Span("drain", d.DrainTimeout, "how long requests in flight may continue after SIGTERM"),
 			starter.Int("conns", d.MaxConns, "connections that a listener has at a time; beyond them, those that wait for their peer are closed; 0 means no limit"),
+			starter.Int("bodies", int(d.MaxBodies/cowslipbend.MB), "memory in MB that the bodies of requests to a listener may take in all, until they have been handled; 0 means no limit"),
 		},
 		Commands: []*cli.Command{platformCommand()},
 		Before:   starter.DeferFaults,
@@ -53,7 +54,7 @@
 		Entries: c.StringSlice("entry"), Secret: c.String("secret"), Log: c.String("log"),
 		HeartbeatInterval: cowslipbend.SpanOf(c.Duration("beat")), PollInterval: cowslipbend.SpanOf(c.Duration("poll")),
 		DrainTimeout: cowslipbend.SpanOf(c.Duration("drain")), Guard: throttler.Mode(c.String("guard")),
-		MaxConns: c.Int("conns"),
+		MaxConns: c.Int("conns"), MaxBodies: cowslipbend.Bytes(c.Int("bodies")) * cowslipbend.MB,
 	}
 	log, err := starter.Logger("agent", s.Log, os.Stderr)
 	if err := starter.Faults(c, s.Check(), err); err != nil {
--- a/agent/runner/run.go
+++ b/agent/runner/run.go
@@ -84,7 +84,7 @@
 	bounds := bounder.NewGroup(clock, log.Named("bounder"))
 	a.metrics.MustRegister(bounds)
 	bound := func(name string) *bounder.Bounder {
-		return bounds.Add(bounder.Limits{Name: name, Conns: s.MaxConns})
+		return bounds.Add(bounder.Limits{Name: name, Conns: s.MaxConns, Bodies: s.MaxBodies})
 	}
 	var err error
 	if a.entryServer, err = server.Open(server.Address{Addr: s.Listen, Handler: recoverer.Handler("request", log, a.panics, a.handler()), Bounds: bound("entry"), Wrap: s.Wrap}); err != nil {
--- a/agent/runner/settings.go
+++ b/agent/runner/settings.go
@@ -30,8 +30,10 @@
 	PollInterval      cowslipbend.Span
 	// DrainTimeout is how long requests in flight may continue after SIGTERM.
 	DrainTimeout cowslipbend.Span
-	// MaxConns is how many connections each listener has at a time. Zero means no limit.
-	MaxConns int
+	// MaxConns is how many connections each listener has at a time, and MaxBodies the memory that
+	// the bodies of requests to it may take in all. Zero means no limit.
+	MaxConns  int
+	MaxBodies cowslipbend.Bytes
 	// Wrap wraps the listener for entries, so that tests and the stand can inject
 	// network faults. It may be nil.
 	Wrap server.ListenerWrapper
@@ -45,7 +47,7 @@
 		Listen: "127.0.0.1:7100", Local: "127.0.0.1:7101", Worker: "http://127.0.0.1:7102",
 		Entries: []string{"http://127.0.0.1:7001"}, Log: "info",
 		HeartbeatInterval: cowslipbend.Second, PollInterval: cowslipbend.Second / 4, DrainTimeout: cowslipbend.Minute,
-		Guard: throttler.Throttle, MaxConns: bounder.DefaultConns,
+		Guard: throttler.Throttle, MaxConns: bounder.DefaultConns, MaxBodies: bounder.DefaultBodies,
 	}
 }
 
@@ -76,7 +78,7 @@
 	if s.DrainTimeout < 0 {
 		l.Add(cowslipbend.Invalid("--drain", "is negative", "give a time such as 60s"))
 	}
-	l.Add(bounder.Check(s.MaxConns))
+	l.Add(bounder.Check(s.MaxConns, s.MaxBodies))
 	return l.Err()
 }
 
--- a/elector/takeover.go
+++ b/elector/takeover.go
@@ -5,6 +5,7 @@
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/conductor"
+	"cowslipbend.dev/internal/caller"
 )
 
 // Limits for failed health checks.
@@ -32,12 +33,18 @@
 	return false
 }
 
+// isUnreachable reports whether the error of a call shows that nothing listens at the peer. One
+// that refuses the call has replied.
+func isUnreachable(err error) bool {
+	return cowslipbend.KindOf(err) == cowslipbend.KindDown && !caller.HasReply(err)
+}
+
 // replacementReason returns why the owner has to be replaced after a health check
 // with the given result, or an empty string if it need not be. The caller holds the
 // lock.
 func (e *Elector) replacementReason(owner conductor.Head, h Health, err error, now cowslipbend.Time) string {
 	switch {
-	case cowslipbend.KindOf(err) == cowslipbend.KindDown:
+	case isUnreachable(err):
 		return "owner is not listening"
 	case err != nil && e.failedChecks >= minFailedChecks && now.Sub(e.ownerLastContact) > failureTimeout:
 		return "owner does not answer"
--- a/entry/main.go
+++ b/entry/main.go
@@ -36,6 +36,7 @@
 			starter.Span("delay", d.BalancerDelay, "time for the load balancer to notice that this entry is leaving"),
 			starter.Span("drain", d.DrainTimeout, "time for requests in flight to finish after that delay"),
 			starter.Int("conns", d.MaxConns, "connections that a listener has at a time; beyond them, those that wait for their peer are closed; 0 means no limit"),
+			starter.Int("bodies", int(d.MaxBodies/cowslipbend.MB), "memory in MB that the bodies of requests to a listener may take in all, until they have been handled; 0 means no limit"),
 		},
 		Commands: []*cli.Command{platformCommand()},
 		Before:   starter.DeferFaults,
@@ -49,7 +50,7 @@
 		Listen: c.String("listen"), Store: c.String("store"), Peers: c.StringSlice("peer"), Secret: c.String("secret"), Log: c.String("log"),
 		Routing: c.String("routing"), RetryPercent: c.Int("retries"), LeaseLength: cowslipbend.SpanOf(c.Duration("lease")), LeaseCap: cowslipbend.SpanOf(c.Duration("cap")),
 		BalancerDelay: cowslipbend.SpanOf(c.Duration("delay")), DrainTimeout: cowslipbend.SpanOf(c.Duration("drain")),
-		MaxConns: c.Int("conns"),
+		MaxConns: c.Int("conns"), MaxBodies: cowslipbend.Bytes(c.Int("bodies")) * cowslipbend.MB,
 	}
 	log, err := starter.Logger("entry", s.Log, os.Stderr)
 	if err := starter.Faults(c, s.Check(), err); err != nil {
--- a/entry/runner/run.go
+++ b/entry/runner/run.go
@@ -123,7 +123,7 @@
 	e.config.OnChange(func(_ cowslipbend.Revision, set *cowslipbend.Set) { e.limits.Declare(set.Limits) })
 	handler := &deferredHandler{}
 	bounds := bounder.NewGroup(clock, log.Named("bounder"))
-	limits := bounder.Limits{Name: "entry", Conns: s.MaxConns}
+	limits := bounder.Limits{Name: "entry", Conns: s.MaxConns, Bodies: s.MaxBodies}
 	if e.server, err = server.Open(server.Address{Addr: s.Listen, Handler: handler, Bounds: bounds.Add(limits), Wrap: s.Wrap}); err != nil {
 		return nil, err
 	}
--- a/entry/runner/settings.go
+++ b/entry/runner/settings.go
@@ -35,8 +35,10 @@
 	// SIGTERM. DrainTimeout is how long requests in flight may take after that.
 	BalancerDelay cowslipbend.Span
 	DrainTimeout  cowslipbend.Span
-	// MaxConns is how many connections each listener has at a time. Zero means no limit.
-	MaxConns int
+	// MaxConns is how many connections each listener has at a time, and MaxBodies the memory that
+	// the bodies of requests to it may take in all. Zero means no limit.
+	MaxConns  int
+	MaxBodies cowslipbend.Bytes
 	// Wrap wraps the listener, so that tests and the stand can inject network
 	// faults.
 	Wrap server.ListenerWrapper
@@ -48,7 +50,7 @@
 	return Settings{
 		Listen: "127.0.0.1:7001", Store: "http://127.0.0.1:7000", Log: "info", Routing: "adaptive", RetryPercent: router.Defaults().RetryPercent,
 		LeaseLength: terms.Length, LeaseCap: terms.Cap, BalancerDelay: 2 * cowslipbend.Second, DrainTimeout: cowslipbend.Minute,
-		MaxConns: bounder.DefaultConns,
+		MaxConns: bounder.DefaultConns, MaxBodies: bounder.DefaultBodies,
 	}
 }
 
@@ -77,7 +79,7 @@
 	if s.BalancerDelay < 0 || s.DrainTimeout < 0 {
 		l.Add(cowslipbend.Invalid("--delay and --drain", "must not be negative", "give times such as 2s and 60s"))
 	}
-	l.Add(bounder.Check(s.MaxConns))
+	l.Add(bounder.Check(s.MaxConns, s.MaxBodies))
 	return l.Err()
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/admitter"
+	"cowslipbend.dev/internal/bounder"
 	"cowslipbend.dev/internal/dialer"
 	"cowslipbend.dev/internal/server"
 )
@@ -73,12 +74,21 @@
 // request that is truncated in transit takes no slot and certainly does not run.
 func bufferBody(r *http.Request) error {
 	if r.ContentLength <= 0 || r.ContentLength > maxBufferedBody {
+		bounder.Stream(r.Body)
 		return nil
 	}
-	data := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, data); err != nil {
+	// The buffer grows with what arrives, as the announced length may never come.
+	data, err := io.ReadAll(io.LimitReader(r.Body, r.ContentLength))
+	if refusal := bounder.Refusal(err); refusal != nil {
+		return refusal
+	}
+	if err == nil && int64(len(data)) < r.ContentLength {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return cowslipbend.Failf(cowslipbend.KindDown, err, "send the request again", "request body truncated")
 	}
+	bounder.Settle(r.Body, cowslipbend.Bytes(len(data)))
 	r.Body = io.NopCloser(bytes.NewReader(data))
 	return nil
 }
--- a/internal/bounder/bounder.go
+++ b/internal/bounder/bounder.go
@@ -16,14 +16,17 @@
 	Name string
 	// Conns is how many connections are open at a time.
 	Conns int
+	// Bodies is the memory that the bodies of requests may take in all.
+	Bodies cowslipbend.Bytes
 	// Buffer is the size of the kernel's buffers of a connection in each direction.
 	Buffer cowslipbend.Bytes
 	// Header is the size of a request's header, and HeaderLines how many lines it may have. The
 	// lines are only counted for HTTP/1.1.
 	Header      cowslipbend.Bytes
 	HeaderLines int
-	// ReplyTime is the time from the header of a request to the end of the reply.
-	ReplyTime cowslipbend.Span
+	// BodyTime is how long a body may take to arrive, and ReplyTime the time from the header of
+	// a request to the end of the reply.
+	BodyTime, ReplyTime cowslipbend.Span
 	// HTTP1 is set if the peers use HTTP/1.1 only.
 	HTTP1 bool
 }
@@ -37,6 +40,10 @@
 	CauseConns Cause = "connections"
 	// CauseHeader means that a header has too many lines.
 	CauseHeader Cause = "header"
+	// CauseBodies means that the bodies take as much memory as they may.
+	CauseBodies Cause = "bodies"
+	// CauseSlow means that a body did not arrive in time.
+	CauseSlow Cause = "slow"
 )
 
 // logInterval is the shortest time between two lines about refusals.
@@ -54,6 +61,12 @@
 	// longest first.
 	conns, outlasting int
 	waiting           list.List
+	// held is the memory of the bodies. arriving holds those that are not complete, the
+	// oldest first, and leaving is what refused ones still hold. released tells that held
+	// has become less.
+	held, leaving cowslipbend.Bytes
+	arriving      list.List
+	released      *sync.Cond
 	// refused counts the refusals, and logged is what it was at loggedAt.
 	refused, logged map[Cause]int
 	loggedAt        cowslipbend.Time
@@ -61,7 +74,9 @@
 
 // New returns a bounder.
 func New(l Limits, clock cowslipbend.Clock, log hclog.Logger) *Bounder {
-	return &Bounder{limits: l, clock: clock, log: log, refused: map[Cause]int{}, logged: map[Cause]int{}}
+	b := &Bounder{limits: l, clock: clock, log: log, refused: map[Cause]int{}, logged: map[Cause]int{}}
+	b.released = sync.NewCond(&b.mu)
+	return b
 }
 
 // Limits returns the limits.
@@ -74,6 +89,13 @@
 	return b.conns
 }
 
+// Held returns the memory that is counted for bodies.
+func (b *Bounder) Held() cowslipbend.Bytes {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held
+}
+
 // recordRefusal counts a refusal. The caller holds the lock, and calls logRefusals once it has
 // released it.
 func (b *Bounder) recordRefusal(cause Cause) { b.refused[cause]++ }
@@ -97,8 +119,8 @@
 	}
 	since := func(c Cause) int { return b.refused[c] - b.logged[c] }
 	fields := []any{
-		"listener", b.limits.Name, "connections", since(CauseConns), "header", since(CauseHeader),
-		"open", b.conns,
+		"listener", b.limits.Name, "connections", since(CauseConns), "header", since(CauseHeader), "bodies", since(CauseBodies), "slow", since(CauseSlow),
+		"open", b.conns, "held", int64(b.held),
 	}
 	b.loggedAt, b.logged = now, maps.Clone(b.refused)
 	b.mu.Unlock()
--- a/internal/bounder/conn.go
+++ b/internal/bounder/conn.go
@@ -43,10 +43,12 @@
 type conn struct {
 	net.Conn
 	bounder *Bounder
-	// idle is set while no request is handled.
-	idle bool
-	// handlers counts the requests that are handled, and writing the writes in progress.
-	handlers, writing int
+	// idle is set while no request is handled, and ending once the rest of the last request is
+	// not wanted.
+	idle, ending bool
+	// handlers counts the requests that are handled, reading those of them whose handler waits
+	// for the body, and writing the writes in progress.
+	handlers, reading, writing int
 	// place is its place in the bounder's list while it waits for its peer. evicted is set once
 	// it was closed to make room, and closed once its requests have ended too.
 	place           *list.Element
@@ -96,7 +98,8 @@
 // update puts the connection into the list if it waits for its peer, and takes it out if it
 // doesn't. The caller holds the lock.
 func (c *conn) update() {
-	waits := !c.evicted && !c.closed && (c.idle || c.writing > 0 && c.handlers <= 1)
+	allRead := c.handlers > 0 && c.handlers == c.reading
+	waits := !c.evicted && !c.closed && (c.idle || c.ending || allRead || c.writing > 0 && c.handlers <= 1)
 	switch {
 	case waits && c.place == nil:
 		c.place = c.bounder.waiting.PushBack(c)
@@ -187,7 +190,11 @@
 	if !ok {
 		return
 	}
-	c.change(func() { c.idle = state == http.StateNew || state == http.StateIdle })
+	c.change(func() {
+		if idle := state == http.StateNew || state == http.StateIdle; idle != c.idle {
+			c.idle, c.ending = idle, false
+		}
+	})
 	if state == http.StateIdle {
 		c.header.Store(true)
 	}
@@ -200,14 +207,3 @@
 func (b *Bounder) ConnContext(ctx context.Context, nc net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, nc)
 }
-
-// Handler returns a handler that counts the requests that another one handles.
-func (b *Bounder) Handler(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			c.change(func() { c.handlers++ })
-			defer c.change(func() { c.handlers-- })
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/internal/bounder/divide_test.go
+++ b/internal/bounder/divide_test.go
@@ -14,7 +14,7 @@
 func TestSharesLeaveRoom(t *testing.T) {
 	t.Run("no limit", func(t *testing.T) {
 		s := Divide(0, 0)
-		assert.Assert(t, s.Front.Conns > 1<<20)
+		assert.Assert(t, s.Front.Conns > 1<<20 && s.Front.Bodies > cowslipbend.GB)
 	})
 	for _, machine := range []struct {
 		memory      cowslipbend.Bytes
@@ -26,11 +26,11 @@
 			s := Divide(machine.memory, machine.descriptors)
 			held, conns := cowslipbend.Bytes(0), 0
 			for _, l := range []Limits{s.Front, s.Internal, s.Control, s.Ready, s.Metrics} {
-				perConn := idleMemory + headerMemory
+				perConn := idleMemory + headerMemory + freeMemory
 				if l.Buffer == callerBuffer {
 					perConn += kernelBuffers * callerBuffer
 				}
-				held += perConn * cowslipbend.Bytes(l.Conns)
+				held += l.Bodies + perConn*cowslipbend.Bytes(l.Conns)
 				conns += l.Conns
 				assert.Assert(t, l.Conns >= minConns)
 			}
--- a/internal/bounder/group.go
+++ b/internal/bounder/group.go
@@ -28,13 +28,14 @@
 
 var (
 	openMetric = prometheus.NewDesc("cowslip_peer_connections", "Open connections to a listener.", []string{"listener"}, nil)
+	heldMetric = prometheus.NewDesc("cowslip_peer_body_bytes", "Memory that is counted for the bodies of requests to a listener.", []string{"listener"}, nil)
 	refused    = prometheus.NewDesc("cowslip_peers_refused_total",
-		"Connections that were closed at a listener, by the limit that they met.", []string{"listener", "cause"}, nil)
+		"Connections that were closed and bodies that were refused at a listener, by the limit that they met; slow counts bodies that did not arrive in time.", []string{"listener", "cause"}, nil)
 )
 
 // Describe is that of prometheus.Collector.
 func (g *Group) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{openMetric, refused} {
+	for _, d := range []*prometheus.Desc{openMetric, heldMetric, refused} {
 		ch <- d
 	}
 }
@@ -50,7 +51,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	ch <- prometheus.MustNewConstMetric(openMetric, prometheus.GaugeValue, float64(b.conns), b.limits.Name)
-	for _, c := range []Cause{CauseConns, CauseHeader} {
+	ch <- prometheus.MustNewConstMetric(heldMetric, prometheus.GaugeValue, float64(b.held), b.limits.Name)
+	for _, c := range []Cause{CauseConns, CauseHeader, CauseBodies, CauseSlow} {
 		ch <- prometheus.MustNewConstMetric(refused, prometheus.CounterValue, float64(b.refused[c]), b.limits.Name, string(c))
 	}
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -13,6 +13,7 @@
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/instrumenter"
+	"cowslipbend.dev/internal/bounder"
 	"cowslipbend.dev/internal/dialer"
 	"cowslipbend.dev/internal/server"
 )
@@ -96,6 +97,10 @@
 func Handle[In, Out any](mux *http.ServeMux, path string, handle func(context.Context, *In) (Out, error)) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodySize))
+		if refusal := bounder.Refusal(err); refusal != nil {
+			server.WriteError(w, refusal)
+			return
+		}
 		if err != nil {
 			server.WriteError(w, cowslipbend.Failf(cowslipbend.KindInvalid, err, "send the whole body", "body of the call cannot be read"))
 			return
--- a/receiver/request.go
+++ b/receiver/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/internal/bounder"
 	"cowslipbend.dev/router"
 )
 
@@ -101,19 +102,25 @@
 		return nil
 	}
 	if h.ContentLength > maxReplayableBytes {
+		bounder.Stream(h.Body)
 		return checkLargeBody(req)
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // The writers of some tests do not support it.
 	data, err := readBody(h)
 	_ = control.SetReadDeadline(time.Time{})
+	if refusal := bounder.Refusal(err); refusal != nil {
+		return refusal
+	}
 	if err != nil {
 		return cowslipbend.Failf(cowslipbend.KindInvalid, err, "send the whole body, within 30s", "request body is incomplete")
 	}
 	if len(data) <= maxReplayableBytes {
+		bounder.Settle(h.Body, cowslipbend.Bytes(len(data)))
 		req.Buffered, req.Replayable = data, true
 		return nil
 	}
+	bounder.Stream(h.Body)
 	req.Body = io.MultiReader(strings.NewReader(string(data)), h.Body)
 	return checkLargeBody(req)
 }
@@ -130,10 +137,10 @@
 // readBody returns the whole body, or, if it has no declared length and is
 // larger than can be replayed, one byte more than that limit.
 func readBody(h *http.Request) ([]byte, error) {
-	if h.ContentLength < 0 {
-		return io.ReadAll(io.LimitReader(h.Body, maxReplayableBytes+1))
+	// The buffer grows with what arrives, as a declared length may never come.
+	data, err := io.ReadAll(io.LimitReader(h.Body, maxReplayableBytes+1))
+	if err == nil && int64(len(data)) < h.ContentLength {
+		err = io.ErrUnexpectedEOF
 	}
-	data := make([]byte, h.ContentLength)
-	_, err := io.ReadFull(h.Body, data)
 	return data, err
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -8,6 +8,7 @@
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/admitter"
+	"cowslipbend.dev/internal/bounder"
 	"cowslipbend.dev/internal/server"
 )
 
@@ -46,7 +47,11 @@
 	var a admitter.Announcement
 	dec := json.NewDecoder(body)
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(&a); err != nil {
+	err := dec.Decode(&a)
+	if refusal := bounder.Refusal(err); refusal != nil {
+		return a, refusal
+	}
+	if err != nil {
 		return a, cowslipbend.Failf(cowslipbend.KindInvalid, err, "send JSON with id, service, url, slots and conns", "announcement cannot be decoded")
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
