platform: a job is bounded before it is decoded

A legal body became many times its size: 256 KB of empty steps, three bytes each, decode to 232 bytes each, and the refusal named every fault in 5.3 MB. 16 callers made an entry use 510 MB of 96, 32 who read no replies 844 MB. The number of steps was checked after all had been decoded.

--- a/flow.go
+++ b/flow.go
@@ -123,7 +123,7 @@
 		l.Add(Invalid("first", "is out of bounds", "give milliseconds since 1970"))
 	}
 	total := 0
-	for i := range f.Steps {
+	for i := range f.Steps[:min(len(f.Steps), maxSteps)] { // The fault above covers the rest.
 		total += min(max(f.Steps[i].Count, 0), maxFlowTasks+1)
 		l.Add(f.Steps[i].check(i))
 	}
@@ -148,6 +148,7 @@
 	for _, a := range s.DependsOn {
 		if a < 0 || a >= index {
 			l.Add(Invalid(path+".after", fmt.Sprintf("step %d is not an earlier step", a), "name earlier steps only"))
+			break
 		}
 	}
 	return l.Err()
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -21,6 +21,7 @@
 // Limits of a call.
 const (
 	maxBodySize  = 4 << 20 // bytes; ten times a report with 500 ended runs
+	maxValues    = 1 << 17 // of a body; four times those of such a report
 	maxIdleConns = 4       // to one peer
 )
 
@@ -105,6 +106,10 @@
 			server.WriteError(w, cowslipbend.Failf(cowslipbend.KindInvalid, err, "send the whole body", "body of the call cannot be read"))
 			return
 		}
+		if refusal := bounder.Reserve(r.Body, data, maxValues); refusal != nil {
+			server.WriteError(w, refusal)
+			return
+		}
 		var in In
 		if err := json.Unmarshal(data, &in); err != nil {
 			server.WriteError(w, cowslipbend.Failf(cowslipbend.KindInvalid, err, "check the peer's version", "cannot decode the body of the call"))
