internal/dialer: replies of peers are bounded in all

Each reply to our calls was bounded (4 MB from runners and other processes, 8 MB from the store), their sum was not, so that an agent with 38 connections to its runner could be made to hold 152 MB.

Replies that are read at a time take a sixteenth of the memory at most; one that is alone has its own limit. One beyond it is not read, as if it were lost: the call is repeated. Found by reading the code; TestRepliesShareTheirBytes.

--- a/agent/joiner/joiner.go
+++ b/agent/joiner/joiner.go
@@ -16,6 +16,7 @@
 	"cowslipbend.dev/instrumenter"
 	"cowslipbend.dev/internal/bounder"
 	"cowslipbend.dev/internal/caller"
+	"cowslipbend.dev/internal/dialer"
 	"cowslipbend.dev/internal/recoverer"
 	"cowslipbend.dev/internal/server"
 	"cowslipbend.dev/platform"
@@ -46,6 +47,10 @@
 	reg := prometheus.NewRegistry()
 	instruments := instrumenter.New(reg)
 	a := &Agent{settings: s, log: log, store: platform.NewStore(s.Store, clock, instruments), caller: caller.New(instruments), runner: platform.NewRunner(s.Runner)}
+	replies := dialer.NewReplies(bounder.Divide(s.Memory, s.Descriptors).Replies)
+	a.store.ShareReplies(replies)
+	a.caller.ShareReplies(replies)
+	a.runner.ShareReplies(replies)
 	supervisorSettings := supervisor.Settings{
 		Metrics: instruments, URL: s.URL(), Life: cowslipbend.Incarnation(cowslipbend.DrawID()), MaxLease: s.Bounds.MaxLease,
 		Grant: conductor.Grant(s.Bounds.MaxLease), StopGrace: s.Bounds.StopGrace,
--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -20,6 +20,7 @@
 	"cowslipbend.dev/intaker"
 	"cowslipbend.dev/internal/bounder"
 	"cowslipbend.dev/internal/caller"
+	"cowslipbend.dev/internal/dialer"
 	"cowslipbend.dev/internal/meter"
 	"cowslipbend.dev/internal/recoverer"
 	"cowslipbend.dev/internal/server"
@@ -75,6 +76,9 @@
 	instruments := instrumenter.New(reg)
 	e.metrics, e.instruments = reg, instruments
 	e.store, e.caller = platform.NewStore(s.Store, clock, instruments), caller.New(instruments)
+	replies := dialer.NewReplies(bounder.Divide(s.Memory, s.Descriptors).Replies)
+	e.store.ShareReplies(replies)
+	e.caller.ShareReplies(replies)
 	e.cordoner = cordoner.New(platform.DomainSource(), clock.Now(), log.Named("cordoner"))
 	observeDomains(reg, e.cordoner, clock)
 	e.ruler = ruler.New(ruler.Source{
@@ -88,7 +92,9 @@
 	lease := conductor.Grant(s.Bounds.MaxLease)
 	var advisor cowslipbend.Advisor
 	if s.Advisor != "" {
-		advisor = platform.NewAdvisor(s.Advisor)
+		client := platform.NewAdvisor(s.Advisor)
+		client.ShareReplies(replies)
+		advisor = client
 	}
 	newConductor := func(f *conductor.Fence) *conductor.Conductor {
 		return conductor.New(conductor.Settings{
--- a/internal/bounder/divide.go
+++ b/internal/bounder/divide.go
@@ -11,6 +11,8 @@
 	// Front is for callers, Internal for other processes of the system, Control for the
 	// runner.
 	Front, Internal, Control, Ready, Metrics Limits
+	// Replies is the memory of the replies of peers to the process.
+	Replies cowslipbend.Bytes
 }
 
 // Divide divides the memory and the descriptors of a process, zero for no limit:
@@ -22,7 +24,7 @@
 //	Ready      2 %                          1/128       1/128
 //	Metrics    2 %                          1/128       1/128
 //
-// What is left is for
+// The replies of peers to the process take another 1/16 at most. What is left is for
 // the process itself, the connections that it makes, and garbage between collections.
 // A connection counts with its header, freeMemory and the kernel's buffers; an internal one
 // without them, as other processes of the system send short headers and read what they asked for.
@@ -47,6 +49,7 @@
 		Control:  share("control", 4, 64, 32, callerMemory, callerBuffer),
 		Ready:    share("ready", 2, 128, 128, callerMemory, callerBuffer),
 		Metrics:  share("metrics", 2, 128, 128, callerMemory, callerBuffer),
+		Replies:  memory / 16,
 	}
 }
 
--- a/internal/bounder/divide_test.go
+++ b/internal/bounder/divide_test.go
@@ -24,7 +24,7 @@
 	} {
 		t.Run(fmt.Sprintf("%d MB and %d descriptors", machine.memory/cowslipbend.MB, machine.descriptors), func(t *testing.T) {
 			s := Divide(machine.memory, machine.descriptors)
-			held, conns := cowslipbend.Bytes(0), 0
+			held, conns := s.Replies, 0
 			for _, l := range []Limits{s.Front, s.Internal, s.Control, s.Ready, s.Metrics} {
 				perConn := idleMemory + headerMemory + freeMemory
 				if l.Buffer == callerBuffer {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -28,6 +28,7 @@
 // Caller calls other processes. Its methods are safe for concurrent use.
 type Caller struct {
 	http    *http.Client
+	replies *dialer.Replies
 	metrics *instrumenter.Instrumenter
 }
 
@@ -37,6 +38,10 @@
 	return &Caller{http: dialer.PooledHTTP1(maxIdleConns), metrics: metrics}
 }
 
+// ShareReplies bounds the replies together with those of other peers. It must be called before
+// the first call.
+func (c *Caller) ShareReplies(r *dialer.Replies) { c.replies = r }
+
 // Close closes the idle connections.
 func (c *Caller) Close() { c.http.CloseIdleConnections() }
 
@@ -63,7 +68,7 @@
 		return cowslipbend.Failf(cowslipbend.KindUnknown, noReply{err}, "call again", "peer did not reply")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(dialer.Bound(resp.Body, maxBodySize))
+	data, err := c.replies.Read(resp.Body, maxBodySize)
 	if err != nil {
 		return cowslipbend.Failf(cowslipbend.KindUnknown, err, "call again", "reply of the peer was cut off")
 	}
