--- a/stand/crowder/caller.go
+++ b/stand/crowder/caller.go
@@ -65,7 +65,7 @@
 		last = code
 		sleep(ctx, retryInterval)
 	}
-	return cowslipbend.Fail(cowslipbend.KindLate, fmt.Sprintf("%s %s has failed %d times, last with status %d", method, path, attempts, last), "see the log of the process")
+	return cowslipbend.Failf(cowslipbend.KindLate, context.Cause(ctx), "see the log of the process", "%s %s has failed %d times, last with status %d", method, path, attempts, last)
 }
 
 // Submit submits a job with a new id until it is accepted.
--- a/stand/crowder/crowder_test.go
+++ b/stand/crowder/crowder_test.go
@@ -57,7 +57,8 @@
 // testbed is a testbed whose processes are watched.
 type testbed struct {
 	*crowder.Testbed
-	t        *testing.T
+	t *testing.T
+	// ctx ends with the test, and if a process ends.
 	ctx      context.Context
 	opts     crowder.Options
 	watchers map[string]*crowder.Watcher
@@ -66,17 +67,18 @@
 // start starts a testbed and waits until an ordinary job has been done.
 func start(t *testing.T, descriptors int) *testbed {
 	t.Helper()
-	b := &testbed{t: t, ctx: t.Context(), watchers: map[string]*crowder.Watcher{}, opts: crowder.Options{
+	ctx, cancel := context.WithCancelCause(t.Context())
+	b := &testbed{t: t, ctx: ctx, watchers: map[string]*crowder.Watcher{}, opts: crowder.Options{
 		Bin: bin, Dir: t.TempDir(), Network: 110 + os.Getpid()%100, Number: int(testbeds.Add(1)),
 		Entry: crowder.Limits{MemoryMB: entryMemoryMB, Descriptors: descriptors}, Agent: crowder.Limits{MemoryMB: agentMemoryMB, Descriptors: descriptors},
 	}}
 	var err error
-	b.Testbed, err = crowder.Start(b.ctx, b.opts)
+	b.Testbed, err = crowder.Start(t.Context(), b.opts)
 	t.Cleanup(func() { assert.NilError(t, b.Close()) })
 	assert.NilError(t, err)
-	b.watchers["entry"], err = crowder.Watch(b.ctx, b.Entry.ID(), b.EntryFront(), b.EntryReadiness(), b.EntryControl(), b.EntryInternal())
+	b.watchers["entry"], err = crowder.Watch(t.Context(), cancel, b.Entry.ID(), b.EntryFront(), b.EntryReadiness(), b.EntryControl(), b.EntryInternal())
 	assert.NilError(t, err)
-	b.watchers["agent"], err = crowder.Watch(b.ctx, b.Agent.ID(), b.AgentControl(), b.AgentInternal())
+	b.watchers["agent"], err = crowder.Watch(t.Context(), cancel, b.Agent.ID(), b.AgentControl(), b.AgentInternal())
 	assert.NilError(t, err)
 	b.assertServes(crowder.OrdinaryJob)
 	return b
@@ -102,13 +104,25 @@
 	for name, l := range map[string]crowder.Limits{"entry": b.opts.Entry, "agent": b.opts.Agent} {
 		peak, samples, err := b.watchers[name].End()
 		b.t.Logf("%s: %s samples=%d limits: memory_mb=%d max_fds=%d", name, peak, samples, l.MemoryMB, l.Descriptors)
-		assert.Check(b.t, err, "%s has ended", name)
+		if !assert.Check(b.t, err, "%s has ended", name) {
+			b.t.Logf("end of its log:\n%s", b.logEnd(name))
+		}
 		assert.Check(b.t, peak.Total <= l.Memory(), "%s uses more than its %d MB of memory: %s", name, l.MemoryMB, peak)
 		assert.Check(b.t, peak.Descriptors <= l.Descriptors, "%s has %d descriptors, of %d", name, peak.Descriptors, l.Descriptors)
 		assert.Check(b.t, peak.Sockets <= l.Descriptors-crowder.ReservedDescriptors, "%s has %d sockets and pipes, of %d", name, peak.Sockets, l.Descriptors-crowder.ReservedDescriptors)
 	}
 }
 
+// logEnd returns the end of the log of a process.
+func (b *testbed) logEnd(name string) []byte {
+	const size = 4 << 10
+	log, err := os.ReadFile(filepath.Join(b.opts.Dir, name+".log"))
+	if err != nil {
+		return []byte(err.Error())
+	}
+	return log[max(0, len(log)-size):]
+}
+
 // play checks that ordinary callers are served while the crowd is there and after it has gone,
 // that no refused job of it has run, and that both processes stay within their limits.
 func (b *testbed) play(c crowder.Crowd) {
--- a/stand/crowder/watcher.go
+++ b/stand/crowder/watcher.go
@@ -48,15 +48,19 @@
 	group     errgroup.Group
 	stop      context.CancelFunc
 
+	// failed is called with the first error.
+	failed context.CancelCauseFunc
+
 	mu      sync.Mutex
 	peak    Usage
 	samples int
 	failure error
 }
 
-// Watch starts to sample the process with the id, which listens on the addresses.
-func Watch(ctx context.Context, id int, addresses ...string) (*Watcher, error) {
-	w := &Watcher{id: id, listeners: map[string]bool{}}
+// Watch starts to sample the process with the id, which listens on the addresses. It calls
+// failed if the process ends.
+func Watch(ctx context.Context, failed context.CancelCauseFunc, id int, addresses ...string) (*Watcher, error) {
+	w := &Watcher{id: id, listeners: map[string]bool{}, failed: failed}
 	for _, a := range addresses {
 		addr, err := netip.ParseAddrPort(a)
 		if err != nil {
@@ -89,6 +93,7 @@
 	if err != nil {
 		if w.failure == nil {
 			w.failure = err
+			w.failed(err)
 		}
 		return
 	}
--- a/stand/crowder/watcher_test.go
+++ b/stand/crowder/watcher_test.go
@@ -1,6 +1,7 @@
 package crowder_test
 
 import (
+	"context"
 	"net"
 	"os"
 	"os/exec"
@@ -26,7 +27,7 @@
 			_, err = c.Write(make([]byte, size))
 			assert.NilError(t, err)
 		}
-		w, err := crowder.Watch(t.Context(), os.Getpid(), ln.Addr().String())
+		w, err := crowder.Watch(t.Context(), func(error) {}, os.Getpid(), ln.Addr().String())
 		assert.NilError(t, err)
 		peak, _, err := w.End()
 		assert.NilError(t, err)
@@ -39,11 +40,13 @@
 	t.Run("a process that has ended is a failure", func(t *testing.T) {
 		cmd := exec.Command("sleep", "100")
 		assert.NilError(t, cmd.Start())
-		w, err := crowder.Watch(t.Context(), cmd.Process.Pid)
+		ctx, cancel := context.WithCancelCause(t.Context())
+		w, err := crowder.Watch(t.Context(), cancel, cmd.Process.Pid)
 		assert.NilError(t, err)
 		assert.NilError(t, cmd.Process.Kill())
+		<-ctx.Done()
 		assert.ErrorContains(t, cmd.Wait(), "killed")
 		_, _, err = w.End()
-		assert.Assert(t, err != nil)
+		assert.Equal(t, err, context.Cause(ctx))
 	})
 }
