stand/field: a run that a late start began on a restarted runner, without an owner

The same order of events as in package supervisor, with the real entry, agent and client of the runner: a start is left unanswered, the only entry stops, the runner starts again under its id and carries the start out before anything else. Its longest lease is 12 s and its first deadline one of a clock that has run for long, so the run would go on for 12 s; the grant ends 6 s after the entry.

--- a/stand/field/restart_test.go
+++ b/stand/field/restart_test.go
@@ -42,6 +42,12 @@
 	t       *testing.T
 	pool    *hostrunner.Pool
 	address string
+	// maxLease is the longest lease of its runners. hasOldClock is set if the clock of the first
+	// one has run for long.
+	maxLease    cowslipbend.Span
+	hasOldClock bool
+	// stopEntry stops the only entry, and waits until it has stopped.
+	stopEntry func()
 
 	mu          sync.Mutex
 	incarnation *incarnation
@@ -65,24 +71,29 @@
 	leased bool
 }
 
-// boot starts an incarnation.
-func (m *machine) boot() {
+// boot starts an incarnation, which carries out calls that were left unanswered before any other.
+func (m *machine) boot(lateCalls ...string) {
 	m.t.Helper()
 	ln, err := net.Listen("tcp", m.address)
 	assert.NilError(m.t, err)
 	n := &incarnation{runner: hostrunner.New(m.pool, runnerName, taskDuration), ended: make(chan struct{})}
-	n.runner.StartClock()
-	n.runner.SetMaxLease(maxLease)
+	if m.current() != nil || !m.hasOldClock {
+		n.runner.StartClock()
+	}
+	n.runner.SetMaxLease(m.maxLease)
 	n.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serve(n, w, r) }))
 	n.server.Listener = ln
+	m.mu.Lock()
+	m.incarnation = n
+	m.mu.Unlock()
+	for _, name := range lateCalls {
+		assert.Equal(m.t, m.carryOut(name), "")
+	}
 	n.server.Start()
 	m.t.Cleanup(func() {
 		n.server.CloseClientConnections()
 		n.server.Close()
 	})
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.incarnation = n
 }
 
 // endSilently ends the incarnation. Connections to it stay open without an answer.
@@ -231,9 +242,15 @@
 // next process.
 func newMachine(t *testing.T) (f *testbed, m *machine, restartAgent func()) {
 	t.Helper()
-	f = newStoreOnly(t, platform.Bounds{MaxLease: maxLease, JobRetention: cowslipbend.Minute})
+	return newMachineWith(t, &machine{maxLease: maxLease})
+}
+
+// newMachineWith does the same with settings of the machine.
+func newMachineWith(t *testing.T, m *machine) (*testbed, *machine, func()) {
+	t.Helper()
+	f := newStoreOnly(t, platform.Bounds{MaxLease: m.maxLease, JobRetention: cowslipbend.Minute})
 	e := f.addEntry()
-	m = &machine{t: t, pool: f.pool, address: f.runnerAddr(0), leave: map[string]func(*runnerCall) bool{}, left: map[string]*runnerCall{}}
+	m.t, m.pool, m.address, m.leave, m.left = t, f.pool, f.runnerAddr(0), map[string]func(*runnerCall) bool{}, map[string]*runnerCall{}
 	m.boot()
 	ctx, cancel := context.WithCancel(context.Background())
 	var all, agents errgroup.Group
@@ -245,7 +262,17 @@
 		agents.Go(func() error { return a.Run(agentCtx) })
 	}
 	startAgent()
-	all.Go(func() error { return e.Run(ctx) })
+	entryCtx, stopEntry := context.WithCancel(ctx)
+	entryDone := make(chan struct{})
+	m.stopEntry = func() {
+		stopEntry()
+		<-entryDone
+	}
+	all.Go(func() error {
+		defer close(entryDone)
+		defer stopEntry()
+		return e.Run(entryCtx)
+	})
 	all.Go(func() error { return m.beat(ctx, f.controlAddr(0)) })
 	t.Cleanup(func() {
 		cancel()
@@ -355,3 +382,28 @@
 		})
 	}
 }
+
+// TestRunWithoutOwnerOutlivesGrant guards against a run that goes on after the lease of its owner,
+// which has not heard of its runner's incarnation, as a late start gave it a longer one.
+func TestRunWithoutOwnerOutlivesGrant(t *testing.T) {
+	for name, silenced := range map[string]bool{"after the first heartbeat": false, "before the first heartbeat": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const hold, grant = 12 * cowslipbend.Second, 6 * cowslipbend.Second
+			f, m, _ := newMachineWith(t, &machine{maxLease: hold, hasOldClock: true})
+			f.submit(0, 1, dependentSteps)
+			f.waitForState(0, 1, "done")
+			m.leaveUnanswered("start", func(c *runnerCall) bool { return c.path == "/-/run-start" })
+			f.submit(0, 2, perpetualStep)
+			f.waitFor("a start is left unanswered", func() bool { return m.hasLeft("start") })
+			m.stopEntry()
+			grantEnd := time.Now().Add(grant.Duration())
+			m.setSilenced(silenced)
+			m.crash()
+			m.boot("start")
+			assert.Equal(t, len(f.pool.RunningTasks()), 1)
+			time.Sleep(time.Until(grantEnd))
+			assert.Equal(t, len(f.pool.RunningTasks()), 0)
+		})
+	}
+}
