--- a/stand/soaker/soaker_test.go
+++ b/stand/soaker/soaker_test.go
@@ -51,8 +51,9 @@
 		t.Run(fmt.Sprintf("seed %d: %s", seed, run.cause), func(t *testing.T) {
 			t.Parallel()
 			dir := t.TempDir()
+			port := 22000 + os.Getpid()%500*20 // Other runs on this machine have other ones.
 			r, err := soaker.Run(t.Context(), soaker.Options{
-				Bin: bin, Dir: dir, Entries: 3, Agents: run.agents, Clients: run.clients, InjectionTime: run.span, Partitions: run.partitions, Restarts: run.restarts, Seed: seed, BasePort: 22000,
+				Bin: bin, Dir: dir, Entries: 3, Agents: run.agents, Clients: run.clients, InjectionTime: run.span, Partitions: run.partitions, Restarts: run.restarts, Seed: seed, BasePort: port,
 				Log: hclog.New(&hclog.LoggerOptions{Output: t.Output(), Level: hclog.Info}),
 			})
 			assert.NilError(t, err)
