--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -104,7 +104,11 @@
 	}
 	for i := range agents {
 		zone := string(rune('a' + i%3))
-		if _, _, err := b.startAgent(fmt.Sprintf("side-z-%s-%d", zone, 1+i/3), b.ip(10, i), "z-"+zone, fmt.Sprintf("r1-%d", i/3), false); err != nil {
+		rack := i / 3
+		if b.ownRacks {
+			rack = i
+		}
+		if _, _, err := b.startAgent(fmt.Sprintf("side-z-%s-%d", zone, 1+i/3), b.ip(10, i), "z-"+zone, fmt.Sprintf("r1-%d", rack), false); err != nil {
 			return err
 		}
 	}
--- a/review/bed/process.go
+++ b/review/bed/process.go
@@ -59,6 +59,8 @@
 	memoryMB int
 	// narrow is set if entries reach the store over links of linkMbps.
 	narrow bool
+	// ownRacks is set if each runner of the first fleet has a rack of its own.
+	ownRacks bool
 
 	mu        sync.Mutex
 	processes []*process
--- a/review/bed/runner.go
+++ b/review/bed/runner.go
@@ -149,6 +149,7 @@
 // beat sends heartbeats until the runner leaves.
 func (r *runner) beat() {
 	client := &http.Client{Timeout: time.Second}
+	acked := false
 	for pause := time.Duration(0); ; {
 		select {
 		case <-r.stop:
@@ -156,20 +157,33 @@
 		case <-time.After(pause):
 		}
 		pause = beatInterval
-		r.beats++
-		body, _ := json.Marshal(map[string]any{
-			"service": "ledger", "address": r.addr, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": r.beats, "born": r.born,
-			"capacity": map[string]int{"cpu": runnerCPU, "mem_mb": runnerMem, "gpu": 0}, "labels": []string{"a", r.rack}, "clock_ms": r.clock(),
-		})
+		body, err := json.Marshal(r.heartbeat())
+		if err != nil {
+			panic(err)
+		}
 		resp, err := client.Post("http://"+r.control+wire.Beat+r.id, "application/json", bytes.NewReader(body))
 		if err != nil {
-			pause = 100 * time.Millisecond // The agent is starting.
+			if !acked {
+				pause = 100 * time.Millisecond // The machine is starting.
+			}
 			continue
 		}
+		acked = true
 		_ = resp.Body.Close()
 	}
 }
 
+// heartbeat returns the body of the next heartbeat.
+func (r *runner) heartbeat() map[string]any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.beats++
+	return map[string]any{
+		"service": "ledger", "address": r.addr, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": r.beats, "born": r.born,
+		"capacity": map[string]int{"cpu": runnerCPU, "mem_mb": runnerMem, "gpu": 0}, "labels": []string{"a", r.rack}, "clock_ms": r.clock(),
+	}
+}
+
 // tick ends the runs that are due until the runner leaves.
 func (r *runner) tick() {
 	for {
