stand/metastore: transactions beyond the platform's limits are refused

It now refuses a row over 64 KB, the row_bytes of the known deployments, a name over 200 bytes and a body over 1,000,000 bytes (the lower reading of 1 MB; it was 1,048,576), and counts what it refuses. The largest row can be set lower for a test. Rows of the operator don't pass the protocol and are not bounded.

TestLimits failed before: the larger row, the longer key and the larger body were taken.

--- a/stand/metastore/metastore.go
+++ b/stand/metastore/metastore.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/internal/keeper"
@@ -19,17 +20,32 @@
 const (
 	maxRows = 100
 	maxPage = 500
-	maxBody = 1 << 20 // bytes
+	maxBody = 1_000_000 // bytes, the lower reading of 1 MB
+	maxName = 200       // bytes of a table, a part or a key
+	// defaultMaxRow is row_bytes of the known deployments.
+	defaultMaxRow = 64 * cowslipbend.KB
 )
 
 // Store serves the rows of one table in memory.
 type Store struct {
 	table  keeper.Table
 	faults *keeper.Faults
+	maxRow cowslipbend.Bytes
+	// refused counts the transactions that were refused as invalid.
+	refused atomic.Int64
 }
 
 // New returns an empty store.
-func New() *Store { return &Store{faults: keeper.NewFaults(1, timer.Host{})} }
+func New() *Store {
+	return &Store{faults: keeper.NewFaults(1, timer.Host{}), maxRow: defaultMaxRow}
+}
+
+// SetMaxRow sets the largest value of a row that a client may put. It must be called before
+// the store serves.
+func (s *Store) SetMaxRow(size cowslipbend.Bytes) { s.maxRow = size }
+
+// Refused returns how many transactions were refused as invalid.
+func (s *Store) Refused() int64 { return s.refused.Load() }
 
 // Faults returns the faults that are injected into requests.
 func (s *Store) Faults() *keeper.Faults { return s.faults }
@@ -100,7 +116,8 @@
 func (s *Store) commit(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	var tx transaction
-	if err != nil || json.Unmarshal(data, &tx) != nil || !tx.valid() {
+	if err != nil || json.Unmarshal(data, &tx) != nil || !tx.valid(s.maxRow) {
+		s.refused.Add(1)
 		writePage(w, http.StatusBadRequest, page{})
 		return
 	}
@@ -123,17 +140,19 @@
 }
 
 // valid reports whether the transaction has 1 to maxRows rows, all in one
-// partition, and whether every put has a value and is not in the operator's
-// table.
-func (t *transaction) valid() bool {
+// partition and with names of at most maxName bytes, and whether every put has a
+// value of at most maxRow bytes and is not in the operator's table.
+func (t *transaction) valid(maxRow cowslipbend.Bytes) bool {
 	all := append(append(append([]row(nil), t.Expected...), t.Puts...), t.Remove...)
 	for i := range all {
-		if all[i].Part != all[0].Part {
+		r := &all[i]
+		if r.Part != all[0].Part || max(len(r.Table), len(r.Part), len(r.Key)) > maxName {
 			return false
 		}
 	}
 	for i := range t.Puts {
-		if t.Puts[i].Value == nil || t.Puts[i].Table == "op" {
+		p := &t.Puts[i]
+		if p.Value == nil || cowslipbend.Bytes(len(*p.Value)) > maxRow || p.Table == "op" {
 			return false
 		}
 	}
--- a/stand/metastore/metastore_test.go
+++ b/stand/metastore/metastore_test.go
@@ -1,10 +1,13 @@
 package metastore_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"testing"
 
 	"golang.org/x/sync/errgroup"
@@ -48,3 +51,50 @@
 	}
 	assert.NilError(t, group.Wait())
 }
+
+// TestLimits guards against a stand-in that takes what the platform's store refuses, so that
+// no test sees a row that outgrows it.
+func TestLimits(t *testing.T) {
+	put := func(key string, size int) map[string]any {
+		return map[string]any{"table": "run", "part": "run", "key": key, "value": make([]byte, size)}
+	}
+	const maxRow = 1000
+	for _, c := range []struct {
+		name string
+		code int
+		puts []map[string]any
+	}{
+		{"a row of the largest size", http.StatusOK, []map[string]any{put("a", maxRow)}},
+		{"a row that is larger", http.StatusBadRequest, []map[string]any{put("a", maxRow), put("b", maxRow+1)}},
+		{"a key of the greatest length", http.StatusOK, []map[string]any{put(strings.Repeat("k", 200), 1)}},
+		{"a key that is longer", http.StatusBadRequest, []map[string]any{put("a", 1), put(strings.Repeat("k", 201), 1)}},
+		{"as many rows as a call may have", http.StatusOK, slices.Repeat([]map[string]any{put("a", 1)}, 100)},
+		{"one more", http.StatusBadRequest, slices.Repeat([]map[string]any{put("a", 1)}, 101)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := metastore.New()
+			s.SetMaxRow(maxRow)
+			assertCommit(t, s, c.puts, c.code)
+		})
+	}
+	t.Run("more than a call may have in all", func(t *testing.T) {
+		const rows = 15
+		large := put("a", 50_000)
+		assertCommit(t, metastore.New(), slices.Repeat([]map[string]any{large}, rows-1), http.StatusOK)
+		assertCommit(t, metastore.New(), slices.Repeat([]map[string]any{large}, rows), http.StatusBadRequest)
+	})
+}
+
+// assertCommit puts rows, and asserts that a refused transaction has no effect.
+func assertCommit(t *testing.T, s *metastore.Store, puts []map[string]any, code int) {
+	t.Helper()
+	body, err := json.Marshal(map[string]any{"puts": puts})
+	assert.NilError(t, err)
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/-/rows-tx", bytes.NewReader(body)))
+	assert.Equal(t, w.Code, code)
+	rows, err := s.Table().Scan(t.Context(), "run/", "", 1)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows) == 0, code != http.StatusOK)
+	assert.Equal(t, s.Refused() == 0, code == http.StatusOK)
+}
