planner, conductor: an agent that is gone for good is forgotten, and each agent has a row of its own

Cause: planner.agents only grew, and the owner wrote all agents that had ever reported into the one row run/~agents with each change of one, 63 bytes each. At 65,717 bytes the store refused the row and with it the owner's whole commit. The conductor ended; each next owner loaded the same rows and was refused as soon as a new agent reported.

Change: each agent has the row run/~agent/URL, written only when it changes, so that the number of agents no longer meets the bound of a row (810 agents alone came to 51 kB of it). The owner forgets an agent once it has been silent for the longest prior lease and its host was given up, and deletes its row. An agent that comes back is one that this owner has never met; it gets a process number above those of all that were forgotten, as its runner refuses lower tokens. The row of earlier builds is read, written anew as rows of single agents and deleted.

Why it works: nothing depends on who is gone.

The case of planner TestSuccessor that asked AgentsChanged asks TakeAgents, which says more: which rows have changed.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -104,9 +104,9 @@
 	backlogLoggedAt cowslipbend.Time
 	// estimatesWrittenAt is when the rows of estimatesRows were last written, by key.
 	estimatesWrittenAt map[string]cowslipbend.Time
-	// progressToDelete holds the keys of the progress rows of removed flows, which
-	// the next commit deletes.
-	progressToDelete []string
+	// rowsToDelete holds the keys of rows that the next commit deletes: the progress of
+	// removed flows, and agents that were forgotten.
+	rowsToDelete []string
 	// domainsReadAt is when this owner first began a read of the domains out of
 	// service that was answered; zero before.
 	domainsReadAt cowslipbend.Time
@@ -232,28 +232,13 @@
 		}
 	}
 	c.findOrphans(runs.Rows, work.Rows)
-	c.planner.ExpectAgents(c.decodeAgents(progress[agentsKey]), now)
+	c.restoreAgents(runs.Rows, now)
 	c.applyCancellations(work.Rows)
 	c.loaded, c.confirmedAt = true, now
 	c.log.Info("conductor loaded the flows", "flows", len(work.Rows), "progress", len(runs.Rows))
 	return work.Version, nil
 }
 
-// decodeAgents decodes the row that lists the agents of the last owner. Without
-// it, the runs which that owner placed count as running until their leases have
-// lapsed.
-func (c *Conductor) decodeAgents(value []byte) []planner.AgentRow {
-	if value == nil {
-		return nil
-	}
-	var rows []planner.AgentRow
-	if err := json.Unmarshal(value, &rows); err != nil {
-		c.log.Warn("conductor ignored the list of agents, which does not decode", "row", agentsKey, "error", err)
-		return nil
-	}
-	return rows
-}
-
 // decodeFlow decodes the row of an accepted flow, and returns nil for other rows.
 func (c *Conductor) decodeFlow(row cowslipbend.Row) *cowslipbend.Flow {
 	if _, ok := cancelledFlow(row.Key); ok {
--- a/conductor/estimates_test.go
+++ b/conductor/estimates_test.go
@@ -67,12 +67,21 @@
 }
 
 func newOwner(t *testing.T, table *keeper.Table) *owner {
+	t.Helper()
+	return newOwnerWith(t, table, planner.Options{MaxLease: 5 * cowslipbend.Second, MaxPriorLease: 5 * cowslipbend.Second, FlowRetention: cowslipbend.Minute})
+}
+
+// store is a store in memory.
+type store interface {
+	cowslipbend.Table
+	cowslipbend.Feed
+}
+
+func newOwnerWith(t *testing.T, table store, opts planner.Options) *owner {
 	t.Helper()
 	o := &owner{log: &logBuffer{}, agent: "http://127.0.0.1:1"}
 	rules := func() *cowslipbend.Rules { return &cowslipbend.Rules{} }
-	settings := conductor.Settings{URL: "http://e", MaxUnconfirmed: cowslipbend.Second, Planner: planner.Options{
-		MaxLease: 5 * cowslipbend.Second, MaxPriorLease: 5 * cowslipbend.Second, FlowRetention: cowslipbend.Minute,
-	}}
+	settings := conductor.Settings{URL: "http://e", MaxUnconfirmed: cowslipbend.Second, Planner: opts}
 	o.Conductor = conductor.New(settings, takeOver(t, table), table, table, caller.New(nil), rules, timer.Host{}, hclog.New(&hclog.LoggerOptions{Output: o.log}))
 	ctx, cancel := context.WithCancel(t.Context())
 	var g errgroup.Group
--- a/conductor/head.go
+++ b/conductor/head.go
@@ -16,7 +16,10 @@
 	// TableEntry holds the entries and the current owner.
 	TableEntry = "entry"
 
-	headKey   = TableRun + "/~head"
+	headKey = TableRun + "/~head"
+	// agentPrefix is followed by the URL of an agent.
+	agentPrefix = TableRun + "/~agent/"
+	// agentsKey is the key of the row in which earlier builds list all agents.
 	agentsKey = TableRun + "/~agents"
 	// OwnerKey is the key of the row that names the owner. The entries follow
 	// its table.
--- a/conductor/orphan.go
+++ b/conductor/orphan.go
@@ -19,7 +19,7 @@
 	for _, row := range progress {
 		id, ok := strings.CutPrefix(row.Key, TableRun+"/")
 		if ok && !strings.HasPrefix(id, "~") && !stored[WorkKey(cowslipbend.JobID(id))] {
-			c.progressToDelete = append(c.progressToDelete, row.Key)
+			c.rowsToDelete = append(c.rowsToDelete, row.Key)
 			orphans++
 		}
 	}
--- a/conductor/round.go
+++ b/conductor/round.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 	"slices"
 
@@ -90,6 +89,13 @@
 	d := &decision{states: map[cowslipbend.JobID]cowslipbend.FlowState{}}
 	d.orders = c.planner.Decide(now, c.feed.Now(), c.clock.Wall())
 	c.reportReservations(c.planner.ReservationEvents(), len(c.planner.ReservedHosts()))
+	puts, forgotten, err := c.takeAgents()
+	if err != nil {
+		return nil, err
+	}
+	if d.puts = puts; len(forgotten) > 0 {
+		c.log.Info("conductor forgot silent agents whose hosts were given up", "agents", forgotten)
+	}
 	for _, id := range c.planner.DirtyFlows() {
 		d.states[id], _ = c.planner.State(id)
 		value, err := c.planner.TakeProgress(id)
@@ -98,14 +104,7 @@
 		}
 		d.puts = append(d.puts, cowslipbend.Put{Key: RunKey(id), Value: value})
 	}
-	d.dels, c.progressToDelete = c.progressToDelete, nil
-	if c.planner.AgentsChanged() {
-		value, err := json.Marshal(c.planner.Agents())
-		if err != nil {
-			return nil, cowslipbend.AsError(err)
-		}
-		d.puts = append(d.puts, cowslipbend.Put{Key: agentsKey, Value: value})
-	}
+	d.dels, c.rowsToDelete = c.rowsToDelete, nil
 	d.puts = c.appendEstimates(d.puts, now)
 	if now.Sub(c.lastExpiryCheck) > expiryInterval {
 		c.lastExpiryCheck = now
@@ -195,7 +194,7 @@
 			continue
 		}
 		c.mu.Lock()
-		c.progressToDelete = append(c.progressToDelete, runs...)
+		c.rowsToDelete = append(c.rowsToDelete, runs...)
 		c.mu.Unlock()
 	}
 }
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -25,6 +25,7 @@
 	p.now = now
 	p.SetStoreTime(storeNow)
 	p.ExpireLeases(now)
+	p.forgetAgents(now)
 	p.assessHosts(now)
 	var ready []*flow
 	for _, f := range p.liveFlows {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -91,9 +91,12 @@
 	order []orderedFlow
 	// advice holds the answers of the advisor by step.
 	advice map[stepKey]*stepAdvice
-	// agentsChanged is set if the agents have changed since the last call of
-	// AgentsChanged.
-	agentsChanged bool
+	// dirtyAgents holds the URLs of agents that were added, changed or forgotten since
+	// the last call of TakeAgents. forgottenProcess is the highest number of a process
+	// of an agent that was forgotten.
+	dirtyAgents      map[string]bool
+	forgottenProcess int64
+	agentsCheckedAt  cowslipbend.Time
 	// rows encodes progress for the store.
 	rows rowEncoder
 	// uncommitted holds the placements of the current decision.
@@ -126,37 +129,11 @@
 	trials trials
 }
 
-// agent is the process beside a runner.
-type agent struct {
-	url  string
-	life cowslipbend.Incarnation
-	// process numbers the incarnation among those that have reported in this epoch.
-	process int64
-	// lastReportNumber is the number of its newest report.
-	lastReportNumber int64
-	// runnerLife is the incarnation of its runner.
-	runnerLife cowslipbend.Incarnation
-	// flaps tells whether its runner goes down and up by turns.
-	flaps flaps
-	// knowsRuns is set once this incarnation of the agent has been sent a
-	// description of the runs of this incarnation of the runner.
-	knowsRuns bool
-	// foundAt is when the first report of this incarnation was applied.
-	foundAt cowslipbend.Time
-	// doubted is set if another incarnation has reported since the last call that asked
-	// which one it is. The next such call is not sent before askAgainAt.
-	doubted    bool
-	askAgainAt cowslipbend.Time
-	// pairsSentAt holds, for each serving image on its host, the version of the
-	// estimates with which all pairs of the image were first sent.
-	pairsSentAt map[string]int64
-}
-
 // New returns a planner without flows and hosts.
 func New(epoch cowslipbend.Epoch, opts Options) *Planner {
 	return &Planner{
 		opts: opts, epoch: epoch, flows: map[cowslipbend.JobID]*flow{}, earlyCancels: map[cowslipbend.JobID]bool{}, withheld: map[cowslipbend.JobID]*cowslipbend.Flow{},
-		hosts: map[cowslipbend.Incarnation]*host{}, agents: map[string]*agent{}, dirtyFlows: map[cowslipbend.JobID]bool{},
+		hosts: map[cowslipbend.Incarnation]*host{}, agents: map[string]*agent{}, dirtyAgents: map[string]bool{}, dirtyFlows: map[cowslipbend.JobID]bool{},
 		liveFlows: map[cowslipbend.JobID]*flow{}, estimator: estimator.New(), predictor: predictor.New(), sequencer: sequencer.New(), advice: map[stepKey]*stepAdvice{}, outbox: map[*host]*cowslipbend.HostOrders{},
 	}
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -27,7 +27,12 @@
 
 func newPool(t *testing.T, hosts int) *pool {
 	t.Helper()
-	p := &pool{t: t, plan: planner.New(epoch, options()), now: 1000, reports: map[string]*cowslipbend.HostReport{}}
+	return newPoolWith(t, options(), hosts)
+}
+
+func newPoolWith(t *testing.T, opts planner.Options, hosts int) *pool {
+	t.Helper()
+	p := &pool{t: t, plan: planner.New(epoch, opts), now: 1000, reports: map[string]*cowslipbend.HostReport{}}
 	p.plan.SetRules(&cowslipbend.Rules{})
 	for i := range hosts {
 		p.addHost(fmt.Sprintf("h%d", i), fmt.Sprintf("r%d", i/2))
@@ -553,14 +558,20 @@
 	})
 	t.Run("agents count as changed when a runner has a new incarnation", func(t *testing.T) {
 		p := newPool(t, 1)
-		assert.Assert(t, p.plan.AgentsChanged())
+		assertTaken := func(want ...planner.AgentRow) {
+			t.Helper()
+			changed, forgotten := p.plan.TakeAgents()
+			assert.DeepEqual(t, changed, want)
+			assert.Equal(t, len(forgotten), 0)
+		}
+		assertTaken(planner.AgentRow{URL: "h0", RunnerLife: "h0@1"})
 		assert.DeepEqual(t, p.plan.Agents(), []planner.AgentRow{{URL: "h0", RunnerLife: "h0@1"}})
-		assert.Assert(t, !p.plan.AgentsChanged())
+		assertTaken()
 		spec := *p.reports["h0"].Host
 		spec.Life = "h0@2"
 		p.reports["h0"].Host = &spec
 		p.report("h0")
-		assert.Assert(t, p.plan.AgentsChanged())
+		assertTaken(planner.AgentRow{URL: "h0", RunnerLife: "h0@2"})
 		assert.DeepEqual(t, p.plan.Agents(), []planner.AgentRow{{URL: "h0", RunnerLife: "h0@2"}})
 	})
 	t.Run("tasks that are done stay done, and take few bytes", func(t *testing.T) {
--- a/planner/report.go
+++ b/planner/report.go
@@ -84,21 +84,7 @@
 		a.doubted = true
 		return nil
 	}
-	return a
-}
-
-// addAgent adds the incarnation of an agent that sent the report.
-func (p *Planner) addAgent(r *cowslipbend.HostReport, now cowslipbend.Time) *agent {
-	a := &agent{url: r.URL, life: r.Agent, process: 1, foundAt: now}
-	if earlier := p.agents[r.URL]; earlier != nil {
-		a.runnerLife, a.process, a.flaps = earlier.runnerLife, earlier.process+1, earlier.flaps
-		if h := p.hosts[a.runnerLife]; h != nil {
-			h.grant = grant{}
-		}
-	} else {
-		p.agentsChanged = true
-	}
-	p.agents[r.URL] = a
+	a.heardAt = now
 	return a
 }
 
@@ -152,7 +138,8 @@
 	if old := p.hosts[a.runnerLife]; old != nil && old.life != life {
 		p.loseHost(old, r, now)
 	}
-	a.runnerLife, a.knowsRuns, p.agentsChanged = life, false, true
+	a.runnerLife, a.knowsRuns = life, false
+	p.dirtyAgents[a.url] = true
 	h := p.hosts[life]
 	if h == nil {
 		h = newHost(life)
--- a/planner/row.go
+++ b/planner/row.go
@@ -40,44 +40,6 @@
 	Crashes *isolator.Record `json:"x,omitempty"`
 }
 
-// AgentRow is a stored agent: its URL, and the incarnation of its runner on
-// which runs may have been placed.
-type AgentRow struct {
-	URL        string                  `json:"u"`
-	RunnerLife cowslipbend.Incarnation `json:"h,omitempty"`
-}
-
-// AgentsChanged reports whether the agents have changed since its last call.
-func (p *Planner) AgentsChanged() bool {
-	changed := p.agentsChanged
-	p.agentsChanged = false
-	return changed
-}
-
-// Agents returns the known agents in the order of their URLs.
-func (p *Planner) Agents() []AgentRow {
-	rows := make([]AgentRow, 0, len(p.agents))
-	for url, a := range p.agents {
-		rows = append(rows, AgentRow{URL: url, RunnerLife: a.runnerLife})
-	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].URL < rows[j].URL })
-	return rows
-}
-
-// ExpectAgents adds the agents of an earlier owner. If one reports another
-// incarnation of its runner, all runs of the expected one have ended.
-func (p *Planner) ExpectAgents(rows []AgentRow, now cowslipbend.Time) {
-	for _, row := range rows {
-		if p.agents[row.URL] != nil {
-			continue
-		}
-		p.agents[row.URL] = &agent{url: row.URL, runnerLife: row.RunnerLife}
-		if row.RunnerLife != "" {
-			p.expectHost(row.RunnerLife, now)
-		}
-	}
-}
-
 // expectHost returns the host, which it adds with the longest prior lease if it
 // is unknown. The runner may have had that only since its last start; see replaceHost.
 func (p *Planner) expectHost(life cowslipbend.Incarnation, now cowslipbend.Time) *host {
