planner, conductor: an owner without numbers for processes of agents ends its epoch

What callers would see: an agent that has restarted 16,384 times in one epoch is refused by its runner in the next one, so that nothing runs there. Found by listing what grows; not seen with real processes.

Cause: the number of a process has 14 bits of the fence, and the next number carries into those of the epoch. Numbers above those of agents that were forgotten make them rise faster.

Change: a process beyond the last number gets none, and the owner ends its epoch. Its successor begins at 1, and all its tokens are higher, so no runner refuses them.

Seen failing before: planner TestProcessNumbersRunOut (process 16385 has the token of the next epoch), conductor TestProcessNumbersUsedUp (the owner goes on).

--- a/conductor/round.go
+++ b/conductor/round.go
@@ -83,6 +83,9 @@
 	if c.unsound {
 		return nil, errUnsound
 	}
+	if c.planner.ProcessesUsedUp() {
+		return nil, cowslipbend.Fail(cowslipbend.KindStale, "no number is left for further processes of agents in this epoch", "none: the next owner begins another one")
+	}
 	now := c.clock.Now()
 	c.planner.SetRules(c.rules())
 	c.applyDomains(now)
--- a/conductor/withdraw_internal_test.go
+++ b/conductor/withdraw_internal_test.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
@@ -30,3 +31,19 @@
 	assert.Equal(t, cowslipbend.KindOf(err), cowslipbend.KindBroken)
 	assert.Equal(t, len(c.failures), 1)
 }
+
+// Guards against an owner that goes on when it has no numbers for processes of agents left.
+func TestProcessNumbersUsedUp(t *testing.T) {
+	table := &keeper.Table{}
+	fence, err := TakeOver(t.Context(), table, timer.Host{}, "http://e", "life")
+	assert.NilError(t, err)
+	c := New(Settings{}, fence, table, table, nil, func() *cowslipbend.Rules { return nil }, timer.Host{}, hclog.NewNullLogger())
+	for i := range cowslipbend.MaxProcess + 1 {
+		_, err = c.tryDecide()
+		assert.NilError(t, err)
+		now := cowslipbend.Time(2 * i)
+		c.planner.ApplyAnswer(&cowslipbend.HostReport{Agent: cowslipbend.Incarnation(fmt.Sprint(i)), URL: "http://a", Number: 1}, now+1, now+1)
+	}
+	_, err = c.tryDecide()
+	assert.Equal(t, cowslipbend.KindOf(err), cowslipbend.KindStale)
+}
--- a/fence.go
+++ b/fence.go
@@ -13,6 +13,10 @@
 	fenceAgentBits = 14
 )
 
+// MaxProcess is the highest number of a process for which the tokens of an epoch are below those
+// of the next one.
+const MaxProcess = 1<<fenceAgentBits - 1
+
 // NewFence returns the token of calls to an incarnation of a runner. The process of the agent
 // is numbered within the epoch, and the incarnation within the process.
 func NewFence(e Epoch, process, life int64) Fence {
--- a/host.go
+++ b/host.go
@@ -173,8 +173,8 @@
 	// Entries holds the URLs of all entries. It is empty if the agent knows them.
 	Entries []string `json:"entries,omitempty"`
 	// Process numbers the process of the agent among those that have reported to this owner
-	// from its address, from 1. It is zero while the owner does not know which of two is the
-	// later one, and nil from owners of earlier builds.
+	// from its address, from 1 to MaxProcess, with gaps. It is zero while the owner does not
+	// know which of two is the later one, and nil from owners of earlier builds.
 	Process *int64 `json:"process,omitempty"`
 	// LeaseGrant is the length of the lease, from the moment at which the agent
 	// sent the report.
--- a/planner/agent.go
+++ b/planner/agent.go
@@ -107,6 +107,9 @@
 	} else {
 		p.dirtyAgents[r.URL] = true
 	}
+	if p.processesUsedUp || a.process > cowslipbend.MaxProcess {
+		a.process, p.processesUsedUp = 0, true
+	}
 	p.agents[r.URL] = a
 	return a
 }
@@ -134,3 +137,7 @@
 	h := p.hosts[a.runnerLife]
 	return h != nil && (h.url == a.url || h.url == "")
 }
+
+// ProcessesUsedUp reports whether a process of an agent got no number, as its token would not be
+// below those of the next epoch. The owner then has to begin that.
+func (p *Planner) ProcessesUsedUp() bool { return p.processesUsedUp }
--- a/planner/agent_test.go
+++ b/planner/agent_test.go
@@ -224,3 +224,22 @@
 		assert.Equal(t, again.Run, ref.Run+1)
 	})
 }
+
+// TestProcessNumbersRunOut guards against an agent that restarts again and again until its fence
+// runs into that of the next epoch, in which its runner refuses it.
+func TestProcessNumbersRunOut(t *testing.T) {
+	p := newPool(t, 1)
+	number := *p.report("h0").Process
+	for i := 0; number > 0 && i < 20_000; i++ {
+		assert.Assert(t, cowslipbend.NewFence(epoch, number, 1) < cowslipbend.NewFence(epoch+1, 1, 1), "process %d", number)
+		assert.Assert(t, !p.plan.ProcessesUsedUp(), "process %d", number)
+		p.now = p.now.Add(2)
+		p.reports["h0"].Agent = cowslipbend.Incarnation(fmt.Sprint("a", i))
+		p.answer("h0")
+		next := *p.report("h0").Process
+		assert.Assert(t, next == 0 || next == number+1)
+		number = next
+	}
+	assert.Equal(t, number, int64(0), "an owner without a number gives none")
+	assert.Assert(t, p.plan.ProcessesUsedUp())
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -97,6 +97,8 @@
 	dirtyAgents      map[string]bool
 	forgottenProcess int64
 	agentsCheckedAt  cowslipbend.Time
+	// processesUsedUp is set once a process of an agent was not given a number.
+	processesUsedUp bool
 	// rows encodes progress for the store.
 	rows rowEncoder
 	// uncommitted holds the placements of the current decision.
