planner, conductor: a row that the store refuses concerns its own flow only

Cause: a commit holds what has changed of all flows. KindInvalid for one row came back from Fence.Commit for all of it and ended Conductor.Run; the next owner wrote the same row again.

Progress that doesn't fit is stored with its tasks sorted by host and compressed better, then without the checkpoints of runs, which their hosts list, then without any; a flow fails only if that is too little. If the store refuses a row all the same, the commit is halved until the row is alone, and the rest is written: a flow whose progress it is fails, agents and estimates are learned again. A store that refuses the head as well still ends the owner. Flow, row and size are logged and counted.

Why it works: nothing of a flow is started, shown or acknowledged before its row is stored, so that a flow may lose detail or end without effect on another one.

Seen failing before: three of four cases of conductor TestRowThatDoesNotFit; the fourth is the behaviour that stays. planner TestRowDetail is of the new code.

--- a/conductor/agents_test.go
+++ b/conductor/agents_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -18,11 +19,13 @@
 type limitedTable struct {
 	keeper.Table
 	maxRow int
+	// refuseAll has it refuse all transactions of the table run.
+	refuseAll atomic.Bool
 }
 
 func (l *limitedTable) Commit(ctx context.Context, txn cowslipbend.Txn) (int64, error) {
 	for _, p := range txn.Puts {
-		if len(p.Value) > l.maxRow {
+		if strings.HasPrefix(p.Key, "run/") && (len(p.Value) > l.maxRow || l.refuseAll.Load()) {
 			return 0, cowslipbend.Fail(cowslipbend.KindInvalid, fmt.Sprintf("row %s has %d bytes", p.Key, len(p.Value)), "")
 		}
 	}
--- a/conductor/outlier.go
+++ b/conductor/outlier.go
@@ -15,6 +15,7 @@
 	grades  []planner.GradeEvent
 	losses  []planner.LossEvent
 	missing []planner.MissingEvent
+	rows    []planner.RowEvent
 	trials  []planner.TrialEvent
 }
 
@@ -22,7 +23,7 @@
 func (c *Conductor) takeOutliers() outlierEvents {
 	return outlierEvents{
 		bans: c.planner.TakeBanEvents(), copies: c.planner.TakeCopyEvents(), grades: c.planner.TakeGradeEvents(), losses: c.planner.TakeLossEvents(),
-		missing: c.planner.TakeMissingEvents(), trials: c.planner.TakeTrialEvents(),
+		missing: c.planner.TakeMissingEvents(), rows: c.planner.TakeRowEvents(), trials: c.planner.TakeTrialEvents(),
 	}
 }
 
@@ -45,6 +46,9 @@
 		e := &events.missing[i]
 		c.log.Warn("runs are missing from the lists of their host and count as lost", "host", e.Host, "agent", e.URL, "runs", e.Runs, "inherited", e.Inherited, "listed", e.Listed)
 	}
+	for i := range events.rows {
+		c.recordRow(&events.rows[i])
+	}
 	for i := range events.trials {
 		c.recordTrial(&events.trials[i])
 	}
--- a/conductor/round.go
+++ b/conductor/round.go
@@ -100,11 +100,11 @@
 		c.log.Info("conductor forgot silent agents whose hosts were given up", "agents", forgotten)
 	}
 	for _, id := range c.planner.DirtyFlows() {
-		d.states[id], _ = c.planner.State(id)
 		value, err := c.planner.TakeProgress(id)
 		if err != nil {
 			return nil, err
 		}
+		d.states[id], _ = c.planner.State(id)
 		d.puts = append(d.puts, cowslipbend.Put{Key: RunKey(id), Value: value})
 	}
 	d.dels, c.rowsToDelete = c.rowsToDelete, nil
@@ -160,16 +160,15 @@
 	for {
 		n := min(len(puts), maxPuts)
 		m := min(len(dels), maxPuts-n)
-		start := c.clock.Now()
-		began, err := c.fence.Commit(ctx, puts[:n], dels[:m])
+		refused, err := c.commitRows(ctx, puts[:n], dels[:m])
 		if err != nil {
 			return err
 		}
-		c.settings.Metrics.RecordCommit(c.clock.Now().Sub(start))
-		puts, dels = puts[n:], dels[m:]
-		c.mu.Lock()
-		c.confirmedAt = began
-		c.mu.Unlock()
+		replaced, err := c.replaceRefused(refused, d)
+		if err != nil {
+			return err
+		}
+		puts, dels = append(puts[n:], replaced...), dels[m:]
 		if len(puts)+len(dels) == 0 {
 			return nil
 		}
--- a/entry/joiner/joiner.go
+++ b/entry/joiner/joiner.go
@@ -99,7 +99,7 @@
 	newConductor := func(f *conductor.Fence) *conductor.Conductor {
 		return conductor.New(conductor.Settings{
 			URL: url, MaxUnconfirmed: maxUnconfirmed, Metrics: instruments, Advisor: advisor, Domains: domainSettings(e.cordoner, &s.Bounds),
-			Planner: planner.Options{MaxLease: lease, MaxRunnerLease: s.Bounds.MaxLease, MaxPriorLease: maxUnconfirmed + lease + lease/leaseDenominator, FlowRetention: 2 * s.Bounds.JobRetention, Reserver: reservations(s.ReservedSteps)},
+			Planner: planner.Options{MaxLease: lease, MaxRunnerLease: s.Bounds.MaxLease, MaxPriorLease: maxUnconfirmed + lease + lease/leaseDenominator, FlowRetention: 2 * s.Bounds.JobRetention, MaxRow: s.MaxRow, Reserver: reservations(s.ReservedSteps)},
 		}, f, e.store, e.store, e.caller, e.ruler.Rules, clock, log.Named("conductor"))
 	}
 	self := elector.Member{ID: cowslipbend.EntryID(s.Node), URL: url, Life: life, Strength: elector.StrengthOf(s.CPU, s.Link)}
--- a/estimator/row.go
+++ b/estimator/row.go
@@ -42,8 +42,8 @@
 }
 
 // EncodeRow returns the estimates of pairs and the lowest tails for the store, or nil
-// if there is no pair that fits into a row.
-func (e *Estimator) EncodeRow() ([]byte, error) {
+// if there is no pair that fits into a row of maxRow; zero means that this is not known.
+func (e *Estimator) EncodeRow(maxRow cowslipbend.Bytes) ([]byte, error) {
 	var row storedRow
 	for key, pair := range e.pairs {
 		rounded := pair.rounded()
@@ -56,7 +56,7 @@
 		row.Tails = append(row.Tails, storedTail{image, tail})
 	}
 	slices.SortFunc(row.Tails, func(a, b storedTail) int { return cmp.Compare(a.Image, b.Image) })
-	return fitter.Encode(min(len(row.Pairs), maxRowPairs), func(count int) any {
+	return fitter.Encode(maxRow, min(len(row.Pairs), maxRowPairs), func(count int) any {
 		return storedRow{row.Pairs[:count], row.Tails[:min(len(row.Tails), maxRowTails, count)]}
 	})
 }
--- a/estimator/row_test.go
+++ b/estimator/row_test.go
@@ -13,7 +13,7 @@
 
 func encode(t *testing.T, e *estimator.Estimator) []byte {
 	t.Helper()
-	data, err := e.EncodeRow()
+	data, err := e.EncodeRow(0)
 	assert.NilError(t, err)
 	return data
 }
--- a/instrumenter/instrumenter.go
+++ b/instrumenter/instrumenter.go
@@ -38,6 +38,7 @@
 	malformedStore    prometheus.Counter
 	foreignHeartbeats prometheus.Counter
 	outliers          *prometheus.CounterVec
+	rows              *prometheus.CounterVec
 	gradedHosts       *prometheus.CounterVec
 	lostHosts         *prometheus.CounterVec
 	lostRuns          *prometheus.CounterVec
--- a/instrumenter/instrumenter_test.go
+++ b/instrumenter/instrumenter_test.go
@@ -53,6 +53,8 @@
 		i.RecordDomainMove(evacuator.Lasting)
 		i.RecordDomains(1, map[evacuator.Reason]int{evacuator.NoRoom: 2})
 		i.RecordOutlier("won")
+		i.RecordRow("complete")
+		i.RecordRow("refused")
 		i.RecordSlowHost(true)
 		i.RecordSlowHost(false)
 		i.RecordReservations([]reserver.Event{{Kind: reserver.Made}, {Kind: reserver.Lost, Reason: reserver.LostWorth}}, 5)
@@ -64,7 +66,7 @@
 		"cowslip_flows_refused_total": 1, "cowslip_backlog_core_seconds": 16, "cowslip_run_lengths_total": 3, "cowslip_run_length_errors_total": 1.75,
 		"cowslip_flow_targets_total":     5,
 		"cowslip_starts_withdrawn_total": 4, "cowslip_domain_moves_total": 1, "cowslip_domains_out": 1, "cowslip_domain_runs": 2,
-		"cowslip_run_outliers_total": 1, "cowslip_slow_hosts_total": 2,
+		"cowslip_run_outliers_total": 1, "cowslip_rows_reduced_total": 2, "cowslip_slow_hosts_total": 2,
 	} {
 		t.Run(name, func(t *testing.T) { assert.Equal(t, value(t, reg, name), want) })
 	}
--- a/instrumenter/outlier.go
+++ b/instrumenter/outlier.go
@@ -13,7 +13,8 @@
 	i.lostHosts = counterVec("cowslip_hosts_lost_total", "Hosts that the owner counted as lost, by cause.", "cause")
 	i.lostRuns = counterVec("cowslip_runs_lost_total", "Runs that had not ended when their host was lost, by the cause of its loss.", "cause")
 	i.trials = counterVec("cowslip_crash_suspects_total", "Tasks suspected to crash hosts, and what became of them.", "outcome")
-	reg.MustRegister(i.outliers, i.gradedHosts, i.trials, i.lostHosts, i.lostRuns)
+	i.rows = counterVec("cowslip_rows_reduced_total", "Rows of the owner that hold less than all progress, or all again, by what they hold, and those that the store refused.", "detail")
+	reg.MustRegister(i.rows, i.outliers, i.gradedHosts, i.trials, i.lostHosts, i.lostRuns)
 }
 
 // RecordOutlier counts a copy or a move of a run by its outcome.
@@ -49,3 +50,10 @@
 	}
 	i.gradedHosts.WithLabelValues(change).Inc()
 }
+
+// RecordRow counts a row that holds less than all progress, or all again, by its detail.
+func (i *Instrumenter) RecordRow(detail string) {
+	if i != nil {
+		i.rows.WithLabelValues(detail).Inc()
+	}
+}
--- a/planner/encode.go
+++ b/planner/encode.go
@@ -25,6 +25,8 @@
 type rowEncoder struct {
 	compressed bytes.Buffer
 	writer     *flate.Writer
+	// compact compresses rows that are otherwise too large; it takes some times as long.
+	compact *flate.Writer
 }
 
 // encode returns the row as JSON, compressed if it is large: rows of wide flows
@@ -34,18 +36,36 @@
 	if err != nil || len(data) < minCompressedSize {
 		return data, err
 	}
+	return e.compress(data, &e.writer, flate.BestSpeed)
+}
+
+// encodeCompactly returns the row in less bytes than encode does, and sorts its tasks.
+func (e *rowEncoder) encodeCompactly(row *Row) ([]byte, error) {
+	row.sortByHost()
+	data, err := json.Marshal(row)
+	if err != nil {
+		return nil, err
+	}
+	return e.compress(data, &e.compact, flate.DefaultCompression)
+}
+
+// compress compresses with the writer, which it makes if there is none.
+func (e *rowEncoder) compress(data []byte, writer **flate.Writer, level int) ([]byte, error) {
 	e.compressed.Reset()
 	e.compressed.WriteByte(compressedMark)
-	if e.writer == nil {
-		if e.writer, err = flate.NewWriter(&e.compressed, flate.BestSpeed); err != nil {
+	if *writer == nil {
+		w, err := flate.NewWriter(&e.compressed, level)
+		if err != nil {
 			return nil, err
 		}
+		*writer = w
 	}
-	e.writer.Reset(&e.compressed)
-	if _, err := e.writer.Write(data); err != nil {
+	w := *writer
+	w.Reset(&e.compressed)
+	if _, err := w.Write(data); err != nil {
 		return nil, err
 	}
-	if err := e.writer.Close(); err != nil {
+	if err := w.Close(); err != nil {
 		return nil, err
 	}
 	return bytes.Clone(e.compressed.Bytes()), nil
--- a/planner/flow.go
+++ b/planner/flow.go
@@ -117,6 +117,8 @@
 	// the store.
 	finalState cowslipbend.FlowState
 	endedAt    cowslipbend.Time
+	// detail is that of its last row, empty before the first one that lacks something.
+	detail RowDetail
 	// lengths holds what is known of the lengths of the steps; see lengthOf.
 	lengths []stepLength
 	order   flowOrder
--- a/planner/length.go
+++ b/planner/length.go
@@ -42,7 +42,7 @@
 		return nil, nil
 	}
 	p.lengthsLearned = false
-	return p.predictor.EncodeRow()
+	return p.predictor.EncodeRow(p.opts.MaxRow)
 }
 
 // expectedLength returns the expected run time of a task of the step at full
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -20,6 +20,8 @@
 	MaxPriorLease cowslipbend.Span
 	// FlowRetention is how long a flow is kept after its end.
 	FlowRetention cowslipbend.Span
+	// MaxRow is the largest row of the store. Zero means that rows are not bounded.
+	MaxRow cowslipbend.Bytes
 	// Reserver bounds the reservations for large tasks that wait. The zero value
 	// reserves nothing.
 	Reserver reserver.Options
@@ -99,8 +101,10 @@
 	agentsCheckedAt  cowslipbend.Time
 	// processesUsedUp is set once a process of an agent was not given a number.
 	processesUsedUp bool
-	// rows encodes progress for the store.
-	rows rowEncoder
+	// rows encodes progress for the store. rowEvents holds the events since the last call
+	// of TakeRowEvents.
+	rows      rowEncoder
+	rowEvents eventLog[RowEvent]
 	// uncommitted holds the placements of the current decision.
 	uncommitted []*placement
 	// stopsDue is set if a run may have to be stopped at once; stopsCheckedAt is
--- a/planner/report.go
+++ b/planner/report.go
@@ -453,5 +453,5 @@
 		return nil, nil
 	}
 	p.interferenceTaken = p.estimator.Version()
-	return p.estimator.EncodeRow()
+	return p.estimator.EncodeRow(p.opts.MaxRow)
 }
--- a/planner/row.go
+++ b/planner/row.go
@@ -63,19 +63,18 @@
 	return ids
 }
 
-// TakeProgress returns the encoded progress of a flow and removes it from the
-// dirty flows.
+// TakeProgress returns the encoded progress of a flow, in at most MaxRow, and removes
+// it from the dirty flows.
 func (p *Planner) TakeProgress(id cowslipbend.JobID) ([]byte, error) {
+	data, err := p.encodeProgress(p.flows[id])
 	delete(p.dirtyFlows, id)
-	row := p.flows[id].row()
-	data, err := p.rows.encode(&row)
 	if err != nil {
 		return nil, cowslipbend.Failf(cowslipbend.KindBroken, err, "report this", "progress of flow %s does not encode", id)
 	}
 	return data, nil
 }
 
-func (f *flow) row() Row {
+func (f *flow) row(detail RowDetail) Row {
 	row := Row{State: f.finalState, EndedAt: f.endedAt, Begun: f.begun, RoundsCompleted: f.roundsCompleted, NextRound: f.nextRound}
 	if f.finalState != "" {
 		return row
@@ -88,7 +87,7 @@
 				if t.run == 0 {
 					continue
 				}
-				rr.Tasks = append(rr.Tasks, r.steps[i].row(j))
+				rr.Tasks = append(rr.Tasks, r.steps[i].row(j, detail))
 			}
 		}
 		row.Rounds = append(row.Rounds, rr)
@@ -98,7 +97,7 @@
 
 // row returns the stored progress of a task. Of a done task little is stored, as
 // each change writes the whole row and most tasks in it are done.
-func (s *step) row(index int) RowTask {
+func (s *step) row(index int, detail RowDetail) RowTask {
 	t := &s.tasks[index]
 	row := RowTask{Step: s.index, Index: index, Run: t.run}
 	if t.phase == phaseDone {
@@ -108,7 +107,10 @@
 		}
 		return row
 	}
-	row.Failures, row.Host, row.Checkpoint, row.Other = t.failures, t.host, t.checkpoint, t.other.row()
+	row.Failures, row.Host, row.Other = t.failures, t.host, t.other.row()
+	if detail == RowComplete || (detail == RowWithoutListed && t.phase == phaseWaiting) {
+		row.Checkpoint = t.checkpoint
+	}
 	if t.crashes != (isolator.Record{}) {
 		crashes := t.crashes
 		row.Crashes = &crashes
--- a/predictor/row.go
+++ b/predictor/row.go
@@ -30,8 +30,9 @@
 	UpdatedAt cowslipbend.Time `json:"t"`
 }
 
-// EncodeRow returns the estimates of classes for the store, or nil if there are none.
-func (p *Predictor) EncodeRow() ([]byte, error) {
+// EncodeRow returns the estimates of classes for the store, whose rows have at most maxRow, or
+// nil if there are none. Zero means that this is not known.
+func (p *Predictor) EncodeRow(maxRow cowslipbend.Bytes) ([]byte, error) {
 	rows := make([]ClassLength, 0, len(p.classes))
 	for key, c := range p.classes {
 		rows = append(rows, c.encode(key))
@@ -42,7 +43,7 @@
 		}
 		return strings.Compare(string(a.Queue)+"\x00"+a.Image, string(b.Queue)+"\x00"+b.Image)
 	})
-	return fitter.Encode(min(len(rows), maxRowClasses), func(count int) any { return rows[:count] })
+	return fitter.Encode(maxRow, min(len(rows), maxRowClasses), func(count int) any { return rows[:count] })
 }
 
 func (c *class) encode(key Class) ClassLength {
--- a/predictor/row_test.go
+++ b/predictor/row_test.go
@@ -13,7 +13,7 @@
 
 func encode(t *testing.T, p *predictor.Predictor) []byte {
 	t.Helper()
-	data, err := p.EncodeRow()
+	data, err := p.EncodeRow(0)
 	assert.NilError(t, err)
 	return data
 }
