conductor, planner: an ended flow is forgotten once the feed has passed its removal

What callers would see: a flow that was done four minutes before runs again (TWICE). Found by listing what grows and who removes it; not seen with real processes.

Cause: the owner forgot a flow when its retention had passed, and deleted its rows after that. A flow that it doesn't know counts as new. When the store didn't take the removal, the rows stayed for as long as the owner did, and a reading of the whole table, as after a loss of the feed's history, had it run. So did a reading that had begun before the removal.

Change: a removal is repeated until the store has taken it. The flow is forgotten when the feed has reached the version of the removal, by the one goroutine that applies what the feed returns, so nothing older can follow. Rows that are put in a commit are not deleted by it.

Seen failing before: conductor TestRemovedFlow: "it runs again", and without the loss of history "not within the time: its rows are removed".

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -104,6 +104,9 @@
 	backlogLoggedAt cowslipbend.Time
 	// estimatesWrittenAt is when the rows of estimatesRows were last written, by key.
 	estimatesWrittenAt map[string]cowslipbend.Time
+	// removed holds the flows whose rows were deleted, with the version of that, until the
+	// feed has passed it.
+	removed map[cowslipbend.JobID]int64
 	// rowsToDelete holds the keys of rows that the next commit deletes: the progress of
 	// removed flows, and agents that were forgotten.
 	rowsToDelete []string
@@ -135,7 +138,7 @@
 	c := &Conductor{
 		settings: settings, fence: fence, table: table, feed: feed, sender: sender, clock: clock, log: log.With("epoch", fence.Epoch()), rules: rules,
 		planner: planner.New(fence.Epoch(), settings.Planner), committedStates: map[cowslipbend.JobID]cowslipbend.FlowState{},
-		estimatesWrittenAt: map[string]cowslipbend.Time{},
+		estimatesWrittenAt: map[string]cowslipbend.Time{}, removed: map[cowslipbend.JobID]int64{},
 		roundCommitted:     make(chan struct{}), wakeups: make(chan struct{}, 1), done: make(chan struct{}), failures: make(chan error, 1),
 	}
 	c.goroutines.Guard = recoverer.Guard("orders", c.log, settings.Metrics)
@@ -286,6 +289,7 @@
 			continue
 		}
 		version = changes.Version
+		c.forgetRemoved(version)
 		c.applyRows(changes.Rows)
 	}
 	return nil
--- a/conductor/round.go
+++ b/conductor/round.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"slices"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/planner"
@@ -57,9 +56,6 @@
 	for id, s := range d.states {
 		c.committedStates[id] = s
 	}
-	for _, id := range d.expiredFlows {
-		delete(c.committedStates, id)
-	}
 	c.waitingCounts = d.waitingCounts
 	c.use("round", func() { c.planner.MarkCommitted(c.clock.Now()) })
 	c.mu.Unlock()
@@ -107,14 +103,14 @@
 		d.states[id], _ = c.planner.State(id)
 		d.puts = append(d.puts, cowslipbend.Put{Key: RunKey(id), Value: value})
 	}
-	d.dels, c.rowsToDelete = c.rowsToDelete, nil
+	d.dels, c.rowsToDelete = withoutPuts(c.rowsToDelete, d.puts), nil
 	d.puts = c.appendEstimates(d.puts, now)
 	if now.Sub(c.lastExpiryCheck) > expiryInterval {
 		c.lastExpiryCheck = now
 		if c.log.IsDebug() {
 			c.log.Debug("interference estimates of image pairs", "pairs", c.planner.Pairs())
 		}
-		d.expiredFlows = c.planner.RemoveExpired(c.feed.Now())
+		d.expiredFlows = c.expiredFlows()
 	}
 	if now.Sub(c.lastDelayCheck) >= delayCheckInterval {
 		c.lastDelayCheck = now
@@ -181,26 +177,6 @@
 	return c.confirmedAt
 }
 
-// removeFlows deletes the accepted flows whose retention has expired. A later
-// commit deletes their progress, since a stored flow without progress would be
-// run again.
-func (c *Conductor) removeFlows(ctx context.Context, ids []cowslipbend.JobID) {
-	for chunk := range slices.Chunk(ids, maxPuts/2) {
-		var keys, runs []string
-		for _, id := range chunk {
-			keys = append(keys, WorkKey(id), CancelKey(id))
-			runs = append(runs, RunKey(id))
-		}
-		if _, err := c.table.Commit(ctx, cowslipbend.Txn{Dels: keys}); err != nil {
-			c.log.Warn("conductor failed to remove ended flows", "count", len(chunk), "error", err)
-			continue
-		}
-		c.mu.Lock()
-		c.rowsToDelete = append(c.rowsToDelete, runs...)
-		c.mu.Unlock()
-	}
-}
-
 // announceOwner sends the new owner's URL to the agents of the last owner. An
 // agent that the call does not reach looks up the owner itself.
 func (c *Conductor) announceOwner(ctx context.Context) {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -221,21 +221,24 @@
 	return counts
 }
 
-// RemoveExpired removes and returns the flows that ended longer than
-// FlowRetention before now, a time on the clock of the store. Flows with runs
-// on a host are kept.
-func (p *Planner) RemoveExpired(now cowslipbend.Time) []cowslipbend.JobID {
+// ExpiredFlows returns the flows that ended longer than FlowRetention before now, a
+// time on the clock of the store. Flows with runs on a host are left out.
+func (p *Planner) ExpiredFlows(now cowslipbend.Time) []cowslipbend.JobID {
 	var ids []cowslipbend.JobID
 	for id, f := range p.flows {
 		if f.finalState != "" && now.Sub(f.endedAt) > p.opts.FlowRetention && !p.hasRuns(f) {
 			ids = append(ids, id)
-			delete(p.flows, id)
-			delete(p.dirtyFlows, id)
 		}
 	}
 	return ids
 }
 
+// Forget removes an ended flow. A flow with its id that is submitted later is another one.
+func (p *Planner) Forget(id cowslipbend.JobID) {
+	delete(p.flows, id)
+	delete(p.dirtyFlows, id)
+}
+
 // hasRuns reports whether any host has a run of the flow.
 func (p *Planner) hasRuns(f *flow) bool {
 	for _, h := range p.hosts {
