conductor: a commit stays below what a transaction may have in bytes

A commit was bounded by its number of rows, 98, and not by their bytes: some 25 flows with rows near the largest size that change in one round are more than the 1 MB of a transaction. The store refused it, which ended the owner; since rows are written without those that the store refuses it costs a refused call, the owner's head alone and two halves.

A commit now takes rows up to 640 kB of values, 874 kB as text, and the rest follows in the next one.

Seen failing before: conductor TestLargeCommit, 60 flows of 30 tasks with checkpoints of 1,000 bytes: one transaction refused.

--- a/conductor/agents_test.go
+++ b/conductor/agents_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -15,15 +16,29 @@
 	"cowslipbend.dev/planner"
 )
 
-// limitedTable refuses rows that are too large, as the platform's store does.
+// limitedTable refuses rows and transactions that are too large, as the platform's store does.
 type limitedTable struct {
 	keeper.Table
 	maxRow int
 	// refuseAll has it refuse all transactions of the table run.
 	refuseAll atomic.Bool
+	// refused counts the transactions that were too large, and largest is the size of the largest.
+	refused, largest atomic.Int64
 }
 
+// maxTransaction is the size of the largest transaction, as text.
+const maxTransaction = 1_000_000
+
 func (l *limitedTable) Commit(ctx context.Context, txn cowslipbend.Txn) (int64, error) {
+	size := 0
+	for _, p := range txn.Puts {
+		size += len(p.Key) + base64.StdEncoding.EncodedLen(len(p.Value))
+	}
+	l.largest.Store(max(l.largest.Load(), int64(size)))
+	if size > maxTransaction {
+		l.refused.Add(1)
+		return 0, cowslipbend.Fail(cowslipbend.KindInvalid, fmt.Sprintf("transaction has %d bytes", size), "")
+	}
 	for _, p := range txn.Puts {
 		if strings.HasPrefix(p.Key, "run/") && (len(p.Value) > l.maxRow || l.refuseAll.Load()) {
 			return 0, cowslipbend.Fail(cowslipbend.KindInvalid, fmt.Sprintf("row %s has %d bytes", p.Key, len(p.Value)), "")
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -48,6 +48,9 @@
 	// maxPuts is the largest number of rows of one commit; a transaction holds
 	// 100 entries, of which the head takes two.
 	maxPuts = 98
+	// maxPutBytes bounds the values of these rows; a transaction holds 1 MB as text, which is
+	// by a third longer.
+	maxPutBytes = 640 * cowslipbend.KB
 )
 
 // Sender sends orders to an agent and returns its report.
@@ -139,7 +142,7 @@
 		settings: settings, fence: fence, table: table, feed: feed, sender: sender, clock: clock, log: log.With("epoch", fence.Epoch()), rules: rules,
 		planner: planner.New(fence.Epoch(), settings.Planner), committedStates: map[cowslipbend.JobID]cowslipbend.FlowState{},
 		estimatesWrittenAt: map[string]cowslipbend.Time{}, removed: map[cowslipbend.JobID]int64{},
-		roundCommitted:     make(chan struct{}), wakeups: make(chan struct{}, 1), done: make(chan struct{}), failures: make(chan error, 1),
+		roundCommitted: make(chan struct{}), wakeups: make(chan struct{}, 1), done: make(chan struct{}), failures: make(chan error, 1),
 	}
 	c.goroutines.Guard = recoverer.Guard("orders", c.log, settings.Metrics)
 	return c
--- a/conductor/round.go
+++ b/conductor/round.go
@@ -154,7 +154,7 @@
 		return nil
 	}
 	for {
-		n := min(len(puts), maxPuts)
+		n := countFitting(puts)
 		m := min(len(dels), maxPuts-n)
 		refused, err := c.commitRows(ctx, puts[:n], dels[:m])
 		if err != nil {
--- a/conductor/rows.go
+++ b/conductor/rows.go
@@ -34,6 +34,17 @@
 	return refused, nil
 }
 
+// countFitting returns how many of the rows fit into one transaction, at least one if there is any.
+func countFitting(puts []cowslipbend.Put) int {
+	size := cowslipbend.Bytes(0)
+	for i := range puts[:min(len(puts), maxPuts)] {
+		if size += cowslipbend.Bytes(len(puts[i].Value)); size > maxPutBytes && i > 0 {
+			return i
+		}
+	}
+	return min(len(puts), maxPuts)
+}
+
 // commitOnce commits one transaction.
 func (c *Conductor) commitOnce(ctx context.Context, puts []cowslipbend.Put, dels []string) error {
 	start := c.clock.Now()
--- a/conductor/rows_test.go
+++ b/conductor/rows_test.go
@@ -218,3 +218,32 @@
 		assert.Equal(t, cowslipbend.KindOf(g.Wait()), cowslipbend.KindInvalid)
 	})
 }
+
+// TestLargeCommit guards against a commit of many large rows that is more than a transaction may
+// have.
+func TestLargeCommit(t *testing.T) {
+	const flows, tasks = 60, 30
+	table := &limitedTable{maxRow: 48 << 10}
+	opts := usualOptions()
+	opts.MaxRow = 48 << 10
+	o, h := newOwnerWith(t, table, opts), newFakeHost(t, 1000)
+	h.report(t, o)
+	var ids []cowslipbend.JobID
+	for i := range flows {
+		ids = append(ids, cowslipbend.JobID(fmt.Sprintf("%016x", i)))
+	}
+	o.submit(t, table, tasks, ids...)
+	waitFor(t, "all runs have started", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.running) == flows*tasks
+	})
+	h.report(t, o)
+	waitFor(t, "the checkpoints are stored", func() bool {
+		rows, err := table.Scan(t.Context(), "run/0", "", flows)
+		assert.NilError(t, err)
+		return len(rows) == flows && !slices.ContainsFunc(rows, func(r cowslipbend.Row) bool { return len(r.Value) < tasks*500 })
+	})
+	assert.Assert(t, table.largest.Load() > maxTransaction/2)
+	assert.Equal(t, table.refused.Load(), int64(0))
+}
