stand/soaker: machines beside runners are replaced for good, and no transaction may be refused

Every play began with an empty store and ended with the machines that it had begun with, so that nothing which grows with the machines that have ever been could be seen.

In the end the store has a row of each agent that is there and of no other. In all plays a transaction that the store refuses as invalid is a broken promise.

--- a/stand/launcher/launcher.go
+++ b/stand/launcher/launcher.go
@@ -25,6 +25,8 @@
 	MaxDescriptors int
 	// MaxLease is the longest lease of the runners.
 	MaxLease cowslipbend.Span
+	// MaxRow is the largest row of the store. It is left out if it is zero.
+	MaxRow cowslipbend.Bytes
 }
 
 // Lines returns the lines of the settings file.
@@ -38,6 +40,9 @@
 	if s.MaxDescriptors > 0 {
 		lines = append(lines, "limits.max_fds="+strconv.Itoa(s.MaxDescriptors))
 	}
+	if s.MaxRow > 0 {
+		lines = append(lines, "platform.row_bytes="+strconv.FormatInt(int64(s.MaxRow), 10))
+	}
 	return lines
 }
 
@@ -103,6 +108,9 @@
 	}
 }
 
+// Terminate asks the process to end, and does not wait for that.
+func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
+
 // SignalAndWait sends the signal, SIGTERM or SIGKILL, and waits for the process
 // to exit.
 func (p *Process) SignalAndWait(s syscall.Signal) {
--- a/stand/soak.go
+++ b/stand/soak.go
@@ -31,6 +31,7 @@
 			&cli.BoolFlag{Name: "wide", Value: true, Usage: "submit a job with more tasks for each runner than it lists ends"},
 			&cli.BoolFlag{Name: "partitions", Usage: "inject only partitions of agents that hold what is sent, with kills and pauses meanwhile"},
 			&cli.BoolFlag{Name: "restarts", Usage: "inject only restarts of runners under their ids, with late calls and agents that are cut off soon after"},
+			&cli.BoolFlag{Name: "replacements", Usage: "replace the machines beside runners for good, again and again, with a store of small rows"},
 			starter.Span("for", 15*cowslipbend.Second, "how long faults are injected"),
 		},
 		Action: runSoak,
@@ -50,13 +51,13 @@
 		}
 		r, err := soaker.Run(ctx, soaker.Options{
 			Bin: bin, Dir: dir, Entries: c.Int("entries"), Agents: c.Int("agents"), Clients: c.Int("clients"),
-			InjectionTime: cowslipbend.SpanOf(c.Duration("for")), Wide: c.Bool("wide"), Partitions: c.Bool("partitions"), Restarts: c.Bool("restarts"), Seed: c.Int("seed") + i, BasePort: c.Int("base"), Log: hclog.New(&hclog.LoggerOptions{Output: c.Root().ErrWriter, Level: hclog.Info, JSONFormat: true}),
+			InjectionTime: cowslipbend.SpanOf(c.Duration("for")), Wide: c.Bool("wide"), Partitions: c.Bool("partitions"), Restarts: c.Bool("restarts"), Replacements: c.Bool("replacements"), Seed: c.Int("seed") + i, BasePort: c.Int("base"), Log: hclog.New(&hclog.LoggerOptions{Output: c.Root().ErrWriter, Level: hclog.Info, JSONFormat: true}),
 		})
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(c.Root().Writer, "seed %d: %d jobs, %d accepted, %d refused, %d starts, %d copies, %d faults injected, %d promises broken\n",
-			r.Seed, r.Submitted, r.Accepted, r.Refused, r.Starts, r.Copies, r.Injected, len(r.Faults))
+		fmt.Fprintf(c.Root().Writer, "seed %d: %d jobs, %d accepted, %d refused, %d starts, %d copies, %d machines, %d faults injected, %d promises broken\n",
+			r.Seed, r.Submitted, r.Accepted, r.Refused, r.Starts, r.Copies, r.Machines, r.Injected, len(r.Faults))
 		for _, fault := range r.Faults {
 			fmt.Fprintf(c.Root().Writer, "  %s (logs: %s)\n", fault, dir)
 		}
--- a/stand/soaker/client.go
+++ b/stand/soaker/client.go
@@ -216,7 +216,7 @@
 // newJob returns a job that is recorded and not submitted yet. Half of the jobs allow
 // copies.
 func (c *client) newJob() *jobOutcome {
-	o := &jobOutcome{id: fmt.Sprintf("%016x", c.rnd.Uint64()), allowsCopies: c.rnd.IntN(2) == 0, crashesRunners: c.rnd.IntN(crashShare) == 0 && !c.fleet.opts.Partitions && !c.fleet.opts.Restarts}
+	o := &jobOutcome{id: fmt.Sprintf("%016x", c.rnd.Uint64()), allowsCopies: c.rnd.IntN(2) == 0, crashesRunners: c.rnd.IntN(crashShare) == 0 && c.fleet.opts.hasAllFaults()}
 	if o.allowsCopies {
 		c.fleet.pool.AllowCopies(o.id, copyStep)
 	}
--- a/stand/soaker/fleet.go
+++ b/stand/soaker/fleet.go
@@ -114,8 +114,10 @@
 	pool    *hostrunner.Pool
 	entries []*member
 	agents  []*member
-	servers []*server.Server
-	group   errgroup.Group
+	// machines counts those with agents that have ever been.
+	machines int
+	servers  []*server.Server
+	group    errgroup.Group
 	// activeFaults counts the faults that are in effect.
 	activeFaults sync.WaitGroup
 }
@@ -124,20 +126,24 @@
 	return fmt.Sprintf("%s:%d", ip, f.opts.BasePort+port)
 }
 
+// netMachines is the number of machines of one kind in a loopback network, and netKinds how many
+// networks later those beyond it are.
+const netMachines, netKinds = 250, 8
+
 // ip returns a loopback address of its own for each machine.
 func (f *fleet) ip(kind, n int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 10+f.opts.Seed%100, kind, n+1)
+	return fmt.Sprintf("127.%d.%d.%d", 10+f.opts.Seed%100, kind+n/netMachines*netKinds, n%netMachines+1)
 }
 
-// serve runs a handler until the fleet ends.
-func (f *fleet) serve(addr string, h http.Handler) error {
+// serve runs a handler until the server is closed.
+func (f *fleet) serve(addr string, h http.Handler) (*server.Server, error) {
 	s, err := server.Listen(addr, h)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	f.servers = append(f.servers, s)
 	f.group.Go(s.Run)
-	return nil
+	return s, nil
 }
 
 // newFleet starts the stand-ins and all processes. On an error it returns what
@@ -148,7 +154,10 @@
 	if err := f.publishRules(ctx, 0, baseRoute); err != nil {
 		return f, err
 	}
-	if err := f.serve(f.address(f.ip(netStore, 0), portStore), f.store.Handler()); err != nil {
+	if o.Replacements {
+		f.store.SetMaxRow(replacedRow)
+	}
+	if _, err := f.serve(f.address(f.ip(netStore, 0), portStore), f.store.Handler()); err != nil {
 		return f, err
 	}
 	for i := range o.Entries {
@@ -199,8 +208,11 @@
 	s := launcher.Settings{
 		Node: name, IP: ip, Domain: domain, Port: f.opts.BasePort, Seeds: seeds, Store: storeAddr, MemoryMB: 152, MaxLease: f.maxLease(),
 	}
+	if f.opts.Replacements {
+		s.MaxRow = replacedRow
+	}
 	shared := s.Lines()
-	if !f.opts.Partitions && !f.opts.Restarts {
+	if f.opts.hasAllFaults() {
 		shared = append(shared, "bounds.evacuate_ms="+strconv.FormatInt(int64(evacuationBound), 10))
 	}
 	return shared
@@ -239,14 +251,16 @@
 }
 
 func (f *fleet) startAgent(ctx context.Context, n int) error {
+	f.machines = max(f.machines, n+1)
 	ip := f.ip(netAgents, n)
 	h := &host{control: f.address(ip, portControl), pool: f.pool, number: n, durations: f.durations(), maxLease: f.maxLease()}
+	ctx, h.end = context.WithCancel(ctx)
 	h.startRunner()
 	targetAddr, proxyAddr := f.address(ip, portRunnerTarget), f.address(ip, portRunnerProxy)
-	if err := f.serve(targetAddr, h); err != nil {
+	var err error
+	if h.server, err = f.serve(targetAddr, h); err != nil {
 		return err
 	}
-	var err error
 	if h.runnerProxy, err = newProxy(proxyAddr, targetAddr, 0); err != nil {
 		return err
 	}
@@ -263,14 +277,14 @@
 	return nil
 }
 
-// close kills the processes and stops the stand-ins. The context of newFleet
-// must have been cancelled.
+// close kills the processes and stops the stand-ins.
 func (f *fleet) close() error {
 	for _, m := range append(append([]*member(nil), f.entries...), f.agents...) {
 		m.proc.SignalAndWait(syscall.SIGKILL)
 		m.storeProxy.close()
 		m.inbound.close()
 		if m.host != nil {
+			m.host.end()
 			m.host.runnerProxy.close()
 		}
 	}
--- a/stand/soaker/host.go
+++ b/stand/soaker/host.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cowslipbend.dev"
+	"cowslipbend.dev/internal/server"
 	"cowslipbend.dev/stand/hostrunner"
 	"cowslipbend.dev/timer"
 )
@@ -28,6 +29,9 @@
 	// the longest lease of a runner.
 	durations []cowslipbend.Span
 	maxLease  cowslipbend.Span
+	// server serves the runner, and end ends its heartbeats and its clock.
+	server *server.Server
+	end    context.CancelFunc
 	// restarting is held while the runner is replaced. lives counts the incarnations, ids
 	// their ids. runner is nil while it is down.
 	restarting sync.Mutex
@@ -98,6 +102,15 @@
 	panic(http.ErrAbortHandler)
 }
 
+// leave ends the runner for good.
+func (h *host) leave() {
+	h.restarting.Lock()
+	defer h.restarting.Unlock()
+	h.end()
+	h.stopRunner()
+	h.server.Close()
+}
+
 // stopRunner crashes the runner, which ends all its runs.
 func (h *host) stopRunner() {
 	if runner := h.runner.Swap(nil); runner != nil {
--- a/stand/soaker/soaker.go
+++ b/stand/soaker/soaker.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -34,12 +35,18 @@
 	// Restarts has runners that start again under their ids as the only faults, with calls
 	// that are carried out late, and agents that are cut off soon after.
 	Restarts bool
-	Seed     int
+	// Replacements has machines beside runners that are replaced for good as the main fault, with
+	// a store whose rows are small.
+	Replacements bool
+	Seed         int
 	// BasePort is the lowest port that the run uses.
 	BasePort int
 	Log      hclog.Logger
 }
 
+// hasAllFaults reports whether faults of all kinds are injected.
+func (o *Options) hasAllFaults() bool { return !o.Partitions && !o.Restarts && !o.Replacements }
+
 // Check returns an error that lists every invalid option.
 func (o *Options) Check() error {
 	var l cowslipbend.Errors
@@ -75,6 +82,7 @@
 	Starts    int
 	Copies    int // second runs beside the first
 	Injected  int // faults
+	Machines  int // beside runners that have ever been
 	// Faults describes each violation of an invariant.
 	Faults []string
 }
@@ -129,7 +137,7 @@
 	})
 	wide := &client{fleet: f, recorder: l, rnd: rand.New(rand.NewPCG(uint64(f.opts.Seed), 1<<36))}
 	clients.Go(func() error {
-		if f.opts.Wide {
+		if f.opts.Wide && !f.opts.Replacements {
 			sleep(workCtx, time.Duration(wide.rnd.Int64N(max(1, int64(f.opts.InjectionTime.Duration()/2)))))
 			wide.submitWide(workCtx)
 		}
@@ -167,6 +175,8 @@
 		r.Injected = f.playPartitions(ctx, rnd, end)
 	case f.opts.Restarts:
 		r.Injected = f.playRestarts(ctx, rnd, end)
+	case f.opts.Replacements:
+		r.Injected = f.playReplacements(ctx, rnd, end)
 	default:
 		operator.Go(func() error { return f.cycleDomains(ctx, end) })
 	}
@@ -228,6 +238,12 @@
 			l.addFault("%s was refused and has run", o.id)
 		}
 	}
+	for range pollUntilAll(settleCtx, []*fleet{f}, func(f *fleet) bool { return !f.opts.Replacements || len(f.strayRows(ctx)) == 0 }) {
+		l.addFault("rows of agents: %s", strings.Join(f.strayRows(ctx), ", "))
+	}
+	if n := f.store.Refused(); n > 0 {
+		l.addFault("the store refused %d transactions as invalid", n)
+	}
 }
 
 // A task that lasts has to run again maxLastingIdle after its last run. It is watched for
@@ -275,7 +291,7 @@
 			r.Refused++
 		}
 	}
-	r.Starts, r.Copies = f.pool.Starts(), f.pool.Copies()
+	r.Starts, r.Copies, r.Machines = f.pool.Starts(), f.pool.Copies(), f.machines
 	r.Faults = append(f.pool.Faults(), l.faults...)
 	if len(r.Faults) > 0 {
 		f.opts.Log.Error("invariants violated; logs of the processes are kept", "seed", f.opts.Seed, "logs", filepath.Clean(f.opts.Dir), "faults", r.Faults)
--- a/stand/soaker/soaker_test.go
+++ b/stand/soaker/soaker_test.go
@@ -30,17 +30,18 @@
 var regressions = map[int]regression{
 	1:  {cause: "the default", span: 6 * cowslipbend.Second, agents: 4, clients: 6},
 	2:  {cause: "the default of partitions", span: 20 * cowslipbend.Second, partitions: true, agents: 4, clients: 6},
+	3:  {cause: "machines that had been replaced made a row outgrow the store", span: 20 * cowslipbend.Second, replacements: true, agents: 6, clients: 6},
 	37: {cause: "a runner that restarted under its id had a longer lease than its owner knew", span: 9 * cowslipbend.Second, restarts: true, agents: 6, clients: 12},
 }
 
 // regression is how a seed runs.
 type regression struct {
 	cause string
-	// span is for how long faults are injected, and partitions and restarts whether these are
-	// partitions or restarts of runners only.
-	span                 cowslipbend.Span
-	partitions, restarts bool
-	agents, clients      int
+	// span is for how long faults are injected, and partitions, restarts and replacements whether
+	// these are partitions, restarts of runners or replaced machines only.
+	span                               cowslipbend.Span
+	partitions, restarts, replacements bool
+	agents, clients                    int
 }
 
 // TestSoak runs each seed for a short time. Longer runs and new seeds are
@@ -53,7 +54,7 @@
 			dir := t.TempDir()
 			port := 22000 + os.Getpid()%500*20 // Other runs on this machine have other ones.
 			r, err := soaker.Run(t.Context(), soaker.Options{
-				Bin: bin, Dir: dir, Entries: 3, Agents: run.agents, Clients: run.clients, InjectionTime: run.span, Partitions: run.partitions, Restarts: run.restarts, Seed: seed, BasePort: port,
+				Bin: bin, Dir: dir, Entries: 3, Agents: run.agents, Clients: run.clients, InjectionTime: run.span, Partitions: run.partitions, Restarts: run.restarts, Replacements: run.replacements, Seed: seed, BasePort: port,
 				Log: hclog.New(&hclog.LoggerOptions{Output: t.Output(), Level: hclog.Info}),
 			})
 			assert.NilError(t, err)
@@ -62,7 +63,8 @@
 			assert.Assert(t, r.Injected > 0)
 			files, err := os.ReadDir(dir)
 			assert.NilError(t, err)
-			assert.Equal(t, len(files), 2*(3+run.agents), "each process has settings and a log")
+			assert.Equal(t, len(files), 2*(3+r.Machines), "each process has settings and a log")
+			assert.Equal(t, r.Machines > run.agents, run.replacements)
 		})
 	}
 }
