--- a/conductor/agents.go
+++ b/conductor/agents.go
@@ -8,10 +8,8 @@
 	"cowslipbend.dev/planner"
 )
 
-// Each agent has a row of its own: the store bounds the size of a row and not their number, and
-// a runner that starts again changes one agent.
-
-// agentKey returns the key of the agent's row.
+// agentKey returns the key of the agent's row. Each agent has its own, as the store bounds the size
+// of a row and not their number.
 func agentKey(url string) string { return agentPrefix + url }
 
 // takeAgents returns the rows of agents that have changed, and the agents that were forgotten,
