--- a/planner/history_test.go
+++ b/planner/history_test.go
@@ -113,15 +113,7 @@
 // changeOwner starts a new owner from the rows.
 func (h *history) changeOwner() {
 	h.epoch++
-	h.plan = planner.New(h.epoch, options())
-	h.plan.SetRules(&cowslipbend.Rules{})
-	for id, f := range h.flows {
-		if row := h.progress[id]; row != nil {
-			assert.NilError(h.t, h.plan.Restore(f, row, h.now))
-		} else {
-			h.plan.Submit(f)
-		}
-	}
+	h.plan = newOwnerOf(h.t, h.epoch, h.flows, h.progress, h.now)
 	var rows []planner.AgentRow
 	for url, life := range h.agents {
 		rows = append(rows, planner.AgentRow{URL: url, RunnerLife: life})
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -101,19 +101,26 @@
 	}
 }
 
+// newOwnerOf returns the planner of an owner that has loaded the flows and their stored progress.
+func newOwnerOf(t testing.TB, epoch cowslipbend.Epoch, flows map[cowslipbend.JobID]*cowslipbend.Flow, rows map[cowslipbend.JobID][]byte, now cowslipbend.Time) *planner.Planner {
+	t.Helper()
+	plan := planner.New(epoch, options())
+	plan.SetRules(&cowslipbend.Rules{})
+	for id, f := range flows {
+		if row := rows[id]; row != nil {
+			assert.NilError(t, plan.Restore(f, row, now))
+		} else {
+			plan.Submit(f)
+		}
+	}
+	return plan
+}
+
 // changeOwner starts a new owner from the committed progress. The orders of the
 // last one are not sent.
 func (w *world) changeOwner() {
 	w.epoch++
-	w.plan = planner.New(w.epoch, options())
-	w.plan.SetRules(&cowslipbend.Rules{})
-	for id, f := range w.flows {
-		if row := w.rows[id]; row != nil {
-			assert.NilError(w.t, w.plan.Restore(f, row, w.now))
-		} else {
-			w.plan.Submit(f)
-		}
-	}
+	w.plan = newOwnerOf(w.t, w.epoch, w.flows, w.rows, w.now)
 	for name, r := range w.reports {
 		w.plan.ExpectAgents([]planner.AgentRow{{URL: name, RunnerLife: r.Host.Life}}, w.now)
 		r.Fence = w.epoch
