stand/metastore: a request that ends in its middle is not one that was refused

No process had logged a refusal. The stand-in counted a body that its client had not finished, as a process that is killed or a proxy that resets leaves it, like one that is not valid.

Such a request is broken off and not counted, and the soak prints why a transaction was refused, so that another cause would show.

--- a/stand/metastore/metastore.go
+++ b/stand/metastore/metastore.go
@@ -5,11 +5,14 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 
 	"cowslipbend.dev"
 	"cowslipbend.dev/internal/keeper"
@@ -31,8 +34,10 @@
 	table  keeper.Table
 	faults *keeper.Faults
 	maxRow cowslipbend.Bytes
-	// refused counts the transactions that were refused as invalid.
-	refused atomic.Int64
+
+	mu sync.Mutex
+	// refusals tells why transactions were refused as invalid.
+	refusals []string
 }
 
 // New returns an empty store.
@@ -44,8 +49,20 @@
 // the store serves.
 func (s *Store) SetMaxRow(size cowslipbend.Bytes) { s.maxRow = size }
 
-// Refused returns how many transactions were refused as invalid.
-func (s *Store) Refused() int64 { return s.refused.Load() }
+// Refusals tells why transactions were refused as invalid.
+func (s *Store) Refusals() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.refusals)
+}
+
+// refuse answers a transaction that is not valid.
+func (s *Store) refuse(w http.ResponseWriter, why string) {
+	s.mu.Lock()
+	s.refusals = append(s.refusals, why)
+	s.mu.Unlock()
+	writePage(w, http.StatusBadRequest, page{})
+}
 
 // Faults returns the faults that are injected into requests.
 func (s *Store) Faults() *keeper.Faults { return s.faults }
@@ -115,10 +132,20 @@
 
 func (s *Store) commit(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		s.refuse(w, "body is too large")
+		return
+	}
+	if err != nil {
+		panic(http.ErrAbortHandler) // The client ended in the middle of its request.
+	}
 	var tx transaction
-	if err != nil || json.Unmarshal(data, &tx) != nil || !tx.valid(s.maxRow) {
-		s.refused.Add(1)
-		writePage(w, http.StatusBadRequest, page{})
+	if err := json.Unmarshal(data, &tx); err != nil {
+		s.refuse(w, "body does not decode: "+err.Error())
+		return
+	}
+	if fault := tx.fault(s.maxRow); fault != "" {
+		s.refuse(w, fault)
 		return
 	}
 	var txn cowslipbend.Txn
@@ -139,24 +166,35 @@
 	writePage(w, http.StatusOK, page{Ver: version})
 }
 
-// valid reports whether the transaction has 1 to maxRows rows, all in one
-// partition and with names of at most maxName bytes, and whether every put has a
-// value of at most maxRow bytes and is not in the operator's table.
-func (t *transaction) valid(maxRow cowslipbend.Bytes) bool {
+// fault tells why the transaction is not valid: it has 1 to maxRows rows, all in one
+// partition and with names of at most maxName bytes, and every put has a value of at
+// most maxRow bytes and is not in the operator's table.
+func (t *transaction) fault(maxRow cowslipbend.Bytes) string {
 	all := append(append(append([]row(nil), t.Expected...), t.Puts...), t.Remove...)
+	if len(all) == 0 || len(all) > maxRows {
+		return fmt.Sprintf("%d rows", len(all))
+	}
 	for i := range all {
 		r := &all[i]
-		if r.Part != all[0].Part || max(len(r.Table), len(r.Part), len(r.Key)) > maxName {
-			return false
+		switch {
+		case r.Part != all[0].Part:
+			return fmt.Sprintf("parts %q and %q", all[0].Part, r.Part)
+		case max(len(r.Table), len(r.Part), len(r.Key)) > maxName:
+			return fmt.Sprintf("a name of row %.40s is too long", r.fullKey())
 		}
 	}
 	for i := range t.Puts {
 		p := &t.Puts[i]
-		if p.Value == nil || cowslipbend.Bytes(len(*p.Value)) > maxRow || p.Table == "op" {
-			return false
+		switch {
+		case p.Value == nil:
+			return "row " + p.fullKey() + " has no value"
+		case cowslipbend.Bytes(len(*p.Value)) > maxRow:
+			return fmt.Sprintf("row %s has %d bytes", p.fullKey(), len(*p.Value))
+		case p.Table == "op":
+			return "row " + p.fullKey() + " is the operator's"
 		}
 	}
-	return len(all) > 0 && len(all) <= maxRows
+	return ""
 }
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
--- a/stand/soaker/soaker.go
+++ b/stand/soaker/soaker.go
@@ -241,8 +241,8 @@
 	for range pollUntilAll(settleCtx, []*fleet{f}, func(f *fleet) bool { return !f.opts.Replacements || len(f.strayRows(ctx)) == 0 }) {
 		l.addFault("rows of agents: %s", strings.Join(f.strayRows(ctx), ", "))
 	}
-	if n := f.store.Refused(); n > 0 {
-		l.addFault("the store refused %d transactions as invalid", n)
+	for _, why := range f.store.Refusals() {
+		l.addFault("the store refused a transaction: %s", why)
 	}
 }
 
